--- /dev/null
+++ b/crates/cli/src/cli.rs
@@ -0,0 +1,211 @@
+//! The command line of `buckthornfall`.
+
+use std::path::PathBuf;
+
+use clap::{crate_version, value_parser, Arg, ArgAction, Command};
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("buckthornfall")
+        .version(crate_version!())
+        .about("A rollout service for reinforcement learning")
+        .long_about(
+            "A rollout service for reinforcement learning.\n\n\
+             Operators declare in a manifest which models, trainers and services take part. They \
+             commit a new manifest and watch it take effect; nothing else changes the system.\n\n\
+             Exit codes: 0 success, 1 failure outside the input, 2 input that is not valid, \
+             3 another commit was faster, 4 refused by the system, 5 a promise was broken.",
+        )
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(common_args())
+        .subcommand(check())
+        .subcommand(commit())
+        .subcommand(status())
+        .subcommand(Command::new("entry").about("Ask which daemons to use"))
+        .subcommand(request())
+        .subcommand(submit())
+        .subcommand(demo())
+}
+
+fn common_args() -> [Arg; 4] {
+    [
+        Arg::new("daemon")
+            .long("daemon")
+            .short('d')
+            .global(true)
+            .value_name("ADDRESS")
+            .env("BUCKTHORNFALL_DAEMON")
+            .value_delimiter(',')
+            .action(ArgAction::Append)
+            .help("Address and port of a daemon; may be given several times"),
+        Arg::new("token")
+            .long("token")
+            .global(true)
+            .value_name("TOKEN")
+            .env("BUCKTHORNFALL_TOKEN")
+            .hide_env_values(true)
+            .help("Bearer token of the caller, trainer or operator"),
+        Arg::new("zone")
+            .long("zone")
+            .global(true)
+            .value_name("ZONE")
+            .help("Prefer daemons in this availability zone"),
+        Arg::new("format")
+            .long("format")
+            .global(true)
+            .value_name("FORMAT")
+            .value_parser(["text", "json"])
+            .default_value("text")
+            .help("Print the result for people or for scripts"),
+    ]
+}
+
+fn manifest_arg() -> Arg {
+    Arg::new("manifest")
+        .value_name("MANIFEST")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("File with the manifest, a JSON document")
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Check a manifest without changing anything")
+        .long_about(
+            "Check a manifest without changing anything.\n\nAll problems are listed at once, each \
+             with the JSON pointer to its place, and the exit code is 2.",
+        )
+        .arg(manifest_arg())
+}
+
+fn commit() -> Command {
+    Command::new("commit")
+        .about("Put a manifest in place of a revision")
+        .long_about(
+            "Put a manifest in place of a revision.\n\nThe commit succeeds only if BASE is still \
+             the newest revision. If another operator was faster, the exit code is 3 and the \
+             message names both revisions: make the change again on the newer one. `status \
+             --watch` shows the new revision taking effect.",
+        )
+        .arg(manifest_arg())
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("REVISION")
+                .required(true)
+                .value_parser(value_parser!(u64))
+                .help("Revision that the manifest was made from; 0 for the first manifest"),
+        )
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Show each daemon, the revision in force there, servers and leases")
+        .arg(
+            Arg::new("watch")
+                .long("watch")
+                .short('w')
+                .action(ArgAction::SetTrue)
+                .help("Show the status again each second, until all daemons agree on a revision"),
+        )
+}
+
+fn request() -> Command {
+    Command::new("request")
+        .about("Send one request as a caller and print the answer as it comes")
+        .arg(
+            Arg::new("service")
+                .value_name("SERVICE")
+                .required(true)
+                .help("Model or plain service to ask"),
+        )
+        .arg(Arg::new("text").value_name("TEXT").required(true).help("Prompt or body"))
+        .arg(
+            Arg::new("operation")
+                .long("operation")
+                .short('o')
+                .value_name("NAME")
+                .help("Call this operation of a plain service instead of a model"),
+        )
+        .arg(
+            Arg::new("key")
+                .long("key")
+                .value_name("KEY")
+                .help("Idempotency key, needed for operations that may run only once"),
+        )
+        .arg(
+            Arg::new("max-tokens")
+                .long("max-tokens")
+                .value_name("COUNT")
+                .default_value("64")
+                .value_parser(value_parser!(u32))
+                .help("Longest answer of a model, in tokens"),
+        )
+}
+
+fn submit() -> Command {
+    Command::new("submit")
+        .about("Submit a step as a trainer and wait until it is whole")
+        .arg(
+            Arg::new("trainer")
+                .value_name("TRAINER")
+                .required(true)
+                .help("Name of the trainer, as in the manifest"),
+        )
+        .arg(
+            Arg::new("step")
+                .value_name("STEP")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("File with the step, a JSON document: step, weights_version, groups"),
+        )
+}
+
+fn demo() -> Command {
+    Command::new("demo")
+        .about("Run the whole system with stand-ins in this process and check every promise")
+        .long_about(
+            "Run the whole system with stand-ins in this process and check every promise.\n\n\
+             Daemons, the platform's services, model engines, plain services, trainers and \
+             callers talk over loopback sockets. Trainers run steps while weights change, \
+             callers send requests, and one daemon makes a planned stop. The exit code is 5 if a \
+             promise was broken.",
+        )
+        .arg(
+            Arg::new("deployment")
+                .long("deployment")
+                .value_name("NAME")
+                .value_parser(["gedel", "consortium"])
+                .default_value("gedel")
+                .help("Sizes to run"),
+        )
+        .arg(
+            Arg::new("steps")
+                .long("steps")
+                .value_name("COUNT")
+                .value_parser(value_parser!(u64).range(1..=1000))
+                .default_value("4")
+                .help("Steps of each trainer"),
+        )
+        .arg(
+            Arg::new("faults")
+                .long("faults")
+                .action(ArgAction::SetTrue)
+                .help("Also crash an engine, lose replies of the table, and send a poison request"),
+        )
+        .arg(
+            Arg::new("break")
+                .long("break")
+                .value_name("PART")
+                .value_parser(["answers", "cursor", "ledger"])
+                .help("Break a stand-in on purpose, to see the checks fail"),
+        )
+        .arg(
+            Arg::new("verbose")
+                .long("verbose")
+                .short('v')
+                .action(ArgAction::SetTrue)
+                .help("Print the log of the daemons to standard error"),
+        )
+}
--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,290 @@
+//! The whole system in one process: stand-ins, daemons, trainers and callers.
+
+mod deployment;
+mod report;
+
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use buckthornfall_client::{entry::refusal, Client, ClientOptions};
+use buckthornfall_proto::{
+    manifest::Manifest,
+    messages::{CommitRequest, StatusAnswer},
+};
+use buckthornfall_standins::{
+    callers::{Caller, CallerOptions, CallerReport},
+    trainer::{Trainer, TrainerOptions, TrainerReport},
+};
+use clap::ArgMatches;
+
+use self::{
+    deployment::{Deployment, CRASH_TEXT},
+    report::DemoReport,
+};
+use crate::{
+    error::{Error, Result},
+    options::{Format, Options},
+    output,
+};
+
+const GEDEL: &str = include_str!("../../../examples/gedel.json");
+const CONSORTIUM: &str = include_str!("../../../examples/consortium.json");
+/// Longest wait for the system to start.
+const START_LIMIT: Duration = Duration::from_secs(15);
+/// Longest run of a trainer.
+const TRAINER_LIMIT: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(50);
+const GROUPS: u32 = 24;
+const SAMPLES: u32 = 8;
+const SAMPLE_TOKENS: u32 = 96;
+const CALLER_TOKENS: u32 = 32;
+
+/// Which stand-in is broken on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Broken {
+    /// Engines answer with the text of another prompt.
+    Answers,
+    /// A trainer forgets its cursor.
+    Cursor,
+    /// A plain service runs every call twice.
+    Ledger,
+}
+
+/// Options of the demo.
+#[derive(Debug, Clone)]
+pub struct DemoOptions {
+    /// Name of the deployment.
+    pub deployment: String,
+    /// Steps of each trainer.
+    pub steps: u64,
+    /// Whether faults are shown.
+    pub faults: bool,
+    /// The stand-in that is broken on purpose.
+    pub broken: Option<Broken>,
+}
+
+impl Default for DemoOptions {
+    fn default() -> DemoOptions {
+        DemoOptions { deployment: "gedel".to_owned(), steps: 4, faults: false, broken: None }
+    }
+}
+
+impl DemoOptions {
+    fn from_matches(matches: &ArgMatches) -> DemoOptions {
+        let broken = matches.get_one::<String>("break").map(|part| match part.as_str() {
+            "answers" => Broken::Answers,
+            "cursor" => Broken::Cursor,
+            _ => Broken::Ledger,
+        });
+        let default = DemoOptions::default();
+        DemoOptions {
+            deployment: matches
+                .get_one::<String>("deployment")
+                .cloned()
+                .unwrap_or(default.deployment),
+            steps: matches.get_one::<u64>("steps").copied().unwrap_or(default.steps),
+            faults: matches.get_flag("faults"),
+            broken,
+        }
+    }
+}
+
+/// Runs the demo and prints its summary.
+pub fn run(options: &Options, matches: &ArgMatches) -> Result<()> {
+    if matches.get_flag("verbose") {
+        buckthornfall_daemon::logging::init();
+    }
+    let demo = DemoOptions::from_matches(matches);
+    let progress = |text: &str| {
+        if options.format == Format::Text {
+            output::line(text);
+        }
+    };
+    let report = play(&demo, &progress)?;
+    output::result(options.format, &report, DemoReport::describe);
+    let broken = report.broken();
+    if broken.is_empty() {
+        return Ok(());
+    }
+    for promise in &broken {
+        progress(&format!("BROKEN: {promise}"));
+    }
+    Err(Error::PromiseBroken { count: broken.len() })
+}
+
+/// Plays the demo.
+fn play(options: &DemoOptions, progress: &dyn Fn(&str)) -> Result<DemoReport> {
+    let started = Instant::now();
+    let text = if options.deployment == "gedel" { GEDEL } else { CONSORTIUM };
+    let deployment = Deployment::start(text, options)?;
+    let manifest = &deployment.manifest;
+    progress(&format!(
+        "{}: {} daemons, {} engines, stand-ins of the platform and of the services",
+        manifest.deployment,
+        deployment.daemons.len(),
+        deployment.engines.len()
+    ));
+    commit(&deployment)?;
+    progress(&format!(
+        "revision 1 is in force at all daemons after {:.1} s",
+        started.elapsed().as_secs_f64()
+    ));
+    let stop = Arc::new(AtomicBool::new(false));
+    let trainers = start_trainers(&deployment, options);
+    let callers = start_callers(&deployment, options, &stop);
+    let cut = disturb(&deployment, options, progress);
+    let trainers: Vec<TrainerReport> =
+        trainers.into_iter().map(|t| t.join().expect("a trainer does not panic")).collect();
+    for (trainer, report) in manifest.trainers.iter().zip(&trainers) {
+        progress(&format!("trainer {} holds {} whole steps", trainer.name, report.steps));
+    }
+    stop.store(true, Ordering::Relaxed);
+    let callers: Vec<CallerReport> =
+        callers.into_iter().map(|c| c.join().expect("a caller does not panic")).collect();
+    Ok(DemoReport::new(&deployment, &trainers, &callers, cut, started.elapsed()))
+}
+
+/// Commits the manifest and waits until all daemons have it and see all servers.
+fn commit(deployment: &Deployment) -> Result<()> {
+    let client = deployment.client("token-of-pipeline", "");
+    let manifest = serde_json::to_value(&deployment.manifest).expect("a manifest is plain data");
+    let body = serde_json::to_vec(&CommitRequest { base_revision: 0, manifest })
+        .expect("messages are plain data");
+    let failed = |message: String| Error::DemoStart { message };
+    let address = &deployment.daemons[0].listed.address;
+    let reply =
+        client.post_to(address, "/v1/manifest", &body).map_err(|e| failed(e.to_string()))?;
+    if let Some(answer) = refusal(&reply) {
+        return Err(Error::Refused { answer: Box::new(answer) });
+    }
+    let started = Instant::now();
+    while !deployment.daemons.iter().all(|daemon| is_ready(&client, &daemon.listed.address)) {
+        if started.elapsed() > START_LIMIT {
+            return Err(failed("not all daemons are ready in time".to_owned()));
+        }
+        thread::sleep(POLL);
+    }
+    Ok(())
+}
+
+fn is_ready(client: &Client, address: &str) -> bool {
+    let Ok(reply) = client.get_from(address, "/v1/status") else { return false };
+    let Ok(status) = serde_json::from_slice::<StatusAnswer>(&reply.body) else { return false };
+    let servers = status.servers.iter().all(|server| server.state == "ready");
+    status.revision == 1 && servers && status.peers.iter().all(|peer| peer.alive)
+}
+
+fn start_trainers(
+    deployment: &Deployment,
+    options: &DemoOptions,
+) -> Vec<thread::JoinHandle<TrainerReport>> {
+    let start = |(i, trainer): (usize, &buckthornfall_proto::manifest::Trainer)| {
+        let trainer = Trainer::new(TrainerOptions {
+            name: trainer.name.clone(),
+            model: trainer.model.clone(),
+            client: deployment.client_options(&format!("token-of-{}", trainer.name), ""),
+            first_step: 1,
+            steps: options.steps,
+            groups: GROUPS,
+            samples: SAMPLES,
+            max_tokens: SAMPLE_TOKENS,
+            version: 1,
+            publishes: i == 0,
+            compute: Duration::from_millis(300),
+            staleness_bound: trainer.staleness_bound,
+            limit: TRAINER_LIMIT,
+            forgets_cursor: options.broken == Some(Broken::Cursor),
+        });
+        thread::spawn(move || trainer.run())
+    };
+    deployment.manifest.trainers.iter().enumerate().map(start).collect()
+}
+
+fn start_callers(
+    deployment: &Deployment,
+    options: &DemoOptions,
+    stop: &Arc<AtomicBool>,
+) -> Vec<thread::JoinHandle<CallerReport>> {
+    let manifest = &deployment.manifest;
+    let service = &manifest.plain_services[0];
+    let operation = |idempotent: bool| {
+        let known = service.operations.iter().find(|o| o.idempotent == idempotent);
+        known.map_or_else(String::new, |operation| operation.name.clone())
+    };
+    let start = |(i, zone): (usize, &String)| {
+        let caller = &manifest.callers[i % manifest.callers.len()];
+        let crash = if options.faults && i == 0 { CRASH_TEXT } else { "" };
+        let caller = Caller::new(CallerOptions {
+            name: format!("{}-{i}", caller.name),
+            client: deployment.client_options(&format!("token-of-{}", caller.name), zone),
+            model: manifest.models[0].name.clone(),
+            service: service.name.clone(),
+            lookup: operation(true),
+            record: operation(false),
+            max_tokens: CALLER_TOKENS,
+            pause: Duration::from_millis(20),
+            crash_text: crash.to_owned(),
+        });
+        let stop = Arc::clone(stop);
+        thread::spawn(move || caller.run(&stop))
+    };
+    zones(manifest).iter().chain(zones(manifest).iter()).enumerate().map(start).collect()
+}
+
+fn zones(manifest: &Manifest) -> Vec<String> {
+    manifest.regions.iter().flat_map(|region| region.zones.clone()).collect()
+}
+
+/// Shows faults and a planned stop of one daemon; returns the requests that the stop cut off.
+fn disturb(deployment: &Deployment, options: &DemoOptions, progress: &dyn Fn(&str)) -> u32 {
+    thread::sleep(Duration::from_secs(1));
+    if options.faults {
+        progress("fault: engine 2 crashes");
+        deployment.engines[1].crash();
+        progress("fault: the table loses the replies of its next 5 writes");
+        deployment.table.faults.lose_replies(5);
+        thread::sleep(Duration::from_secs(1));
+        progress("fault: the table is away for 3 s");
+        deployment.table.faults.outage(Duration::from_secs(3));
+        progress("fault: the next swap of engine 1 stops partway");
+        deployment.engines[0].fail_swaps(1);
+    }
+    let last = deployment.daemons.last().expect("there are daemons");
+    progress(&format!("planned stop of daemon {}", last.listed.host));
+    deployment.hosts.leave(&last.listed.host);
+    last.stop();
+    let started = Instant::now();
+    while !last.is_finished() && started.elapsed() < START_LIMIT {
+        thread::sleep(POLL);
+    }
+    let ended = last.is_finished();
+    progress(&format!(
+        "daemon {} {} after {:.1} s",
+        last.listed.host,
+        if ended { "ended" } else { "DID NOT END" },
+        started.elapsed().as_secs_f64()
+    ));
+    u32::from(!ended)
+}
+
+impl Deployment {
+    fn client_options(&self, token: &str, zone: &str) -> ClientOptions {
+        ClientOptions {
+            daemons: self.daemons.iter().map(|daemon| daemon.listed.address.clone()).collect(),
+            zone: zone.to_owned(),
+            region: self.region_of(zone),
+            token: token.to_owned(),
+            timeout: Duration::from_secs(40),
+        }
+    }
+
+    fn client(&self, token: &str, zone: &str) -> Client {
+        Client::new(self.client_options(token, zone))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo/report.rs
@@ -0,0 +1,225 @@
+//! Summary of a demo and the promises that it checks.
+
+use std::{collections::BTreeMap, fmt::Write, time::Duration};
+
+use buckthornfall_standins::{
+    callers::{CallerReport, Said},
+    trainer::TrainerReport,
+};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::deployment::Deployment;
+
+/// What one trainer saw.
+#[derive(Debug, Clone, Serialize)]
+pub struct TrainerSummary {
+    name: String,
+    steps: u64,
+    expected: u64,
+    delivered: u64,
+    duplicated: u64,
+    stale: u64,
+    foreign: u64,
+    idle_percent: f64,
+    step_seconds_median: f64,
+    staleness_mean: f64,
+    staleness_max: u64,
+    gave_up: Option<String>,
+}
+
+/// What the whole demo showed.
+#[derive(Debug, Clone, Serialize)]
+pub struct DemoReport {
+    deployment: String,
+    seconds: f64,
+    trainers: Vec<TrainerSummary>,
+    answered: u64,
+    foreign_answers: u64,
+    cut_answers: u64,
+    refusals: BTreeMap<String, u64>,
+    answer_ms_median: f64,
+    answer_ms_p99: f64,
+    records: u64,
+    records_run_twice: u64,
+    not_run_but_ran: u64,
+    answered_but_not_run: u64,
+    daemons_not_stopped: u32,
+    weights_active: Vec<u64>,
+    engine_crashes: u32,
+    link_bytes_weights: u64,
+    table_reads: u64,
+    table_writes: u64,
+}
+
+impl DemoReport {
+    /// Puts together what trainers, callers and stand-ins saw.
+    pub fn new(
+        deployment: &Deployment,
+        trainers: &[TrainerReport],
+        callers: &[CallerReport],
+        daemons_not_stopped: u32,
+        took: Duration,
+    ) -> DemoReport {
+        let names = deployment.manifest.trainers.iter().map(|trainer| &trainer.name);
+        let runs = deployment.ledger.runs();
+        let records: BTreeMap<_, _> = callers.iter().flat_map(|c| c.records.clone()).collect();
+        let ran = |key: &String| runs.get(key).copied().unwrap_or(0);
+        let count = |said: Said, ran_at_all: bool| {
+            let matches = |(key, s): &(&String, &Said)| **s == said && (ran(key) > 0) == ran_at_all;
+            records.iter().filter(matches).count() as u64
+        };
+        let mut refusals = BTreeMap::new();
+        for (kind, number) in callers.iter().flat_map(|caller| &caller.refused) {
+            *refusals.entry(kind.clone()).or_default() += number;
+        }
+        let latencies = histogram(callers.iter().flat_map(|caller| &caller.latencies));
+        let operations = deployment.table.operations();
+        DemoReport {
+            deployment: deployment.manifest.deployment.clone(),
+            seconds: took.as_secs_f64(),
+            trainers: names
+                .zip(trainers)
+                .map(|(n, report)| TrainerSummary::new(n, report))
+                .collect(),
+            answered: callers.iter().map(|caller| caller.answered).sum(),
+            foreign_answers: callers.iter().map(|caller| caller.foreign).sum(),
+            cut_answers: callers.iter().map(|caller| caller.cut).sum(),
+            refusals,
+            answer_ms_median: latencies.value_at_quantile(0.5) as f64 / 1000.0,
+            answer_ms_p99: latencies.value_at_quantile(0.99) as f64 / 1000.0,
+            records: records.len() as u64,
+            records_run_twice: records.keys().filter(|key| ran(key) > 1).count() as u64,
+            not_run_but_ran: count(Said::NotRun, true),
+            answered_but_not_run: count(Said::Answered, false),
+            daemons_not_stopped,
+            weights_active: deployment.engines.iter().map(|engine| engine.active()).collect(),
+            engine_crashes: deployment.engines.iter().map(|engine| engine.crashes()).sum(),
+            link_bytes_weights: deployment.weights.link_bytes(),
+            table_reads: operations.reads,
+            table_writes: operations.writes,
+        }
+    }
+
+    /// The promises that were broken, one line each.
+    pub fn broken(&self) -> Vec<String> {
+        let mut broken = Vec::new();
+        let mut check = |kept: bool, promise: &str| {
+            if !kept {
+                broken.push(promise.to_owned());
+            }
+        };
+        for trainer in &self.trainers {
+            let name = &trainer.name;
+            check(trainer.gave_up.is_none(), &format!("trainer {name} gave up"));
+            let whole = trainer.delivered - trainer.duplicated == trainer.expected;
+            check(whole, &format!("trainer {name} did not get every sample"));
+            let once = trainer.duplicated == 0;
+            check(once, &format!("trainer {name} got samples twice"));
+            check(trainer.stale == 0, &format!("trainer {name} got samples that are too old"));
+            check(trainer.foreign == 0, &format!("trainer {name} got samples of another prompt"));
+        }
+        check(self.answered > 0, "callers got answers");
+        check(self.foreign_answers == 0, "a caller got the answer to another request");
+        check(self.cut_answers == 0, "a caller's answer ended before its end");
+        check(self.records_run_twice == 0, "a non-idempotent request ran twice");
+        check(self.not_run_but_ran == 0, "a refusal said \"not run\", but the work ran");
+        check(self.answered_but_not_run == 0, "an answered record never ran");
+        check(self.daemons_not_stopped == 0, "a planned stop did not end");
+        broken
+    }
+
+    /// The summary for people.
+    pub fn describe(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "\n{} in {:.1} s", self.deployment, self.seconds);
+        for t in &self.trainers {
+            let _ = writeln!(
+                text,
+                "  trainer {:<20} {} steps, {} of {} samples, {} duplicated, {} too old, \
+                 {} foreign\n{:31}idle {:.0}% of the time, step median {:.2} s, \
+                 staleness mean {:.2} max {} versions",
+                t.name,
+                t.steps,
+                t.delivered,
+                t.expected,
+                t.duplicated,
+                t.stale,
+                t.foreign,
+                "",
+                t.idle_percent,
+                t.step_seconds_median,
+                t.staleness_mean,
+                t.staleness_max
+            );
+        }
+        let _ = writeln!(
+            text,
+            "  callers   {} answers, {} foreign, {} cut off; median {:.0} ms, p99 {:.0} ms",
+            self.answered,
+            self.foreign_answers,
+            self.cut_answers,
+            self.answer_ms_median,
+            self.answer_ms_p99
+        );
+        let refusals: Vec<_> = self.refusals.iter().map(|(k, n)| format!("{k} {n}")).collect();
+        let refusals = if refusals.is_empty() { "none".to_owned() } else { refusals.join(", ") };
+        let _ = writeln!(text, "  refusals  {refusals}");
+        let _ = writeln!(
+            text,
+            "  records   {} non-idempotent requests, {} run twice, {} wrongly called \"not run\"",
+            self.records, self.records_run_twice, self.not_run_but_ran
+        );
+        let _ = writeln!(
+            text,
+            "  weights   active versions {:?}, {} bytes over the region link, {} engine crashes",
+            self.weights_active, self.link_bytes_weights, self.engine_crashes
+        );
+        let _ = writeln!(
+            text,
+            "  table     {} reads and {} writes, {:.0} and {:.0} a second",
+            self.table_reads,
+            self.table_writes,
+            self.table_reads as f64 / self.seconds,
+            self.table_writes as f64 / self.seconds
+        );
+        let verdict = if self.broken().is_empty() { "every promise was kept" } else { "" };
+        let _ = write!(text, "  {verdict}");
+        text.trim_end().to_owned()
+    }
+}
+
+impl TrainerSummary {
+    fn new(name: &str, report: &TrainerReport) -> TrainerSummary {
+        let total = report.total.as_secs_f64().max(f64::MIN_POSITIVE);
+        let steps = histogram(report.step_times.iter());
+        let count = report.staleness.len().max(1) as f64;
+        TrainerSummary {
+            name: name.to_owned(),
+            steps: report.steps,
+            expected: report.expected,
+            delivered: report.delivered,
+            duplicated: report.duplicated,
+            stale: report.stale,
+            foreign: report.foreign,
+            idle_percent: 100.0 * report.idle.as_secs_f64() / total,
+            step_seconds_median: steps.value_at_quantile(0.5) as f64 / 1_000_000.0,
+            staleness_mean: report.staleness.iter().sum::<u64>() as f64 / count,
+            staleness_max: report.staleness.iter().copied().max().unwrap_or(0),
+            gave_up: report.gave_up.clone(),
+        }
+    }
+}
+
+/// Longest time that a histogram holds, in microseconds.
+const LONGEST_MICROS: u64 = 3_600_000_000;
+
+/// Times in microseconds.
+fn histogram<'a>(times: impl Iterator<Item = &'a Duration>) -> Histogram<u64> {
+    let mut histogram = Histogram::new_with_max(LONGEST_MICROS, 3).expect("the bounds are valid");
+    for time in times {
+        histogram.saturating_record(time.as_micros() as u64);
+    }
+    histogram
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,39 @@
+//! `buckthornfall`: the command-line tool of the rollout service.
+
+mod admin;
+mod caller;
+mod cli;
+mod demo;
+mod error;
+mod options;
+mod output;
+
+use std::process::ExitCode;
+
+use crate::{error::Result, options::Options};
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    let result = run(&matches);
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            output::error(&e);
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
+
+fn run(matches: &clap::ArgMatches) -> Result<()> {
+    let options = Options::from_matches(matches);
+    match matches.subcommand() {
+        Some(("check", sub)) => admin::check(&options, sub),
+        Some(("commit", sub)) => admin::commit(&options, sub),
+        Some(("status", sub)) => admin::status(&options, sub),
+        Some(("entry", _)) => caller::entry(&options),
+        Some(("request", sub)) => caller::request(&options, sub),
+        Some(("submit", sub)) => caller::submit(&options, sub),
+        Some(("demo", sub)) => demo::run(&options, sub),
+        _ => unreachable!("clap requires a known subcommand"),
+    }
+}
--- /dev/null
+++ b/crates/core/src/burn.rs
@@ -0,0 +1,103 @@
+//! Counts of good and of all events for each service level, over several windows.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use buckthornfall_proto::{
+    manifest::{Indicator, ServiceLevel},
+    messages::{BurnCount, BurnWindow},
+};
+
+use crate::Now;
+
+/// Windows of the report: five minutes, one hour, six hours.
+pub const WINDOWS: [Duration; 3] =
+    [Duration::from_secs(300), Duration::from_secs(3600), Duration::from_secs(6 * 3600)];
+/// Time between two kept states of the counters.
+const SLICE: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Count {
+    /// Never above `total`.
+    good: u64,
+    total: u64,
+}
+
+/// Service-level counters of one daemon.
+#[derive(Debug, Default)]
+pub struct Burn {
+    levels: Vec<ServiceLevel>,
+    counts: BTreeMap<String, Count>,
+    /// Counters at the end of each slice, oldest first; no older than the longest window.
+    slices: VecDeque<(Now, BTreeMap<String, Count>)>,
+}
+
+impl Burn {
+    /// Takes the service levels of a manifest.
+    pub fn configure(&mut self, levels: &[ServiceLevel]) {
+        self.levels = levels.to_vec();
+    }
+
+    /// Counts an event that took `time`; it is good within the level's threshold.
+    pub fn record_time(&mut self, indicator: Indicator, time: Duration) {
+        let threshold = |level: &ServiceLevel| Duration::from_millis(level.threshold_ms);
+        let good = self.level(indicator).map(|level| time <= threshold(level));
+        if let Some(good) = good {
+            self.record(indicator, good);
+        }
+    }
+
+    /// Counts a good or a bad event.
+    pub fn record(&mut self, indicator: Indicator, good: bool) {
+        self.record_many(indicator, u64::from(good), 1);
+    }
+
+    /// Counts several events.
+    pub fn record_many(&mut self, indicator: Indicator, good: u64, total: u64) {
+        let count = self.counts.entry(indicator.to_string()).or_default();
+        count.good += good;
+        count.total += total;
+    }
+
+    /// Keeps the state of the counters when a slice ended.
+    pub fn tick(&mut self, now: Now) {
+        let due = self.slices.back().is_none_or(|(at, _)| now.saturating_sub(*at) >= SLICE);
+        if !due {
+            return;
+        }
+        self.slices.push_back((now, self.counts.clone()));
+        let longest = WINDOWS[WINDOWS.len() - 1] + SLICE;
+        while self.slices.front().is_some_and(|(at, _)| now.saturating_sub(*at) > longest) {
+            self.slices.pop_front();
+        }
+    }
+
+    /// Counts of each window up to `now`.
+    pub fn windows(&self, now: Now) -> Vec<BurnWindow> {
+        WINDOWS.iter().map(|window| self.window(now, *window)).collect()
+    }
+
+    fn level(&self, indicator: Indicator) -> Option<&ServiceLevel> {
+        self.levels.iter().find(|level| level.indicator == indicator)
+    }
+
+    fn window(&self, now: Now, window: Duration) -> BurnWindow {
+        let before = |(at, _): &&(Now, BTreeMap<String, Count>)| now.saturating_sub(*at) >= window;
+        let start = self.slices.iter().rev().find(before).map(|(_, counts)| counts);
+        let counts = self
+            .counts
+            .iter()
+            .map(|(indicator, count)| {
+                let old = start.and_then(|s| s.get(indicator)).copied().unwrap_or_default();
+                BurnCount {
+                    indicator: indicator.clone(),
+                    good: count.good - old.good,
+                    total: count.total - old.total,
+                }
+            })
+            .collect();
+        BurnWindow { seconds: window.as_secs(), counts }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,500 @@
+//! Runs work on backend servers: queues, choice of server, retries, deadlines, deaths.
+
+mod attempt;
+mod recovery;
+mod work;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use buckthornfall_proto::{
+    ids::{AttemptId, Fingerprint, HostId, ServerId, ServiceName},
+    manifest::Manifest,
+    messages::EngineState,
+};
+use rustc_hash::{FxHashMap, FxHashSet};
+
+pub use self::work::{
+    AttemptEvent, Class, DispatchAction, Progress, Task, Work, WorkEvent, WorkId,
+};
+use self::work::{Stage, WorkState};
+use crate::{
+    admission::{RetryBudget, TokenBucket},
+    error::{ErrorKind, Refusal},
+    fleet::{Distance, Fleet, Place, ServerState},
+    pick::{Candidate, Pick},
+    quarantine::{Quarantine, QuarantineAction, Standing},
+    Now,
+};
+
+/// Limits of a dispatcher, from the manifest.
+#[derive(Debug, Clone)]
+pub struct DispatchLimits {
+    /// Interactive requests that may wait.
+    pub queue_length: usize,
+    /// Bytes a second to other regions.
+    pub link_bytes_per_s: u64,
+}
+
+/// Counters of a dispatcher.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct DispatchStats {
+    /// Attempts started.
+    pub attempts: u64,
+    /// Attempts after the first one of a request.
+    pub retries: u64,
+    /// Events for attempts that had ended already.
+    pub late_events: u64,
+    /// Deaths of servers with work of this daemon on them.
+    pub deaths: u64,
+    /// Runs alone on a server.
+    pub alone_runs: u64,
+    /// Bytes sent to and received from other regions.
+    pub link_bytes: u64,
+}
+
+/// Tries of one piece of work before it is given up.
+const MAX_TRIES: u32 = 4;
+/// Queued entries looked at when the first ones find no server.
+const SCAN_DEPTH: usize = 64;
+/// Longest silence of a running token stream.
+pub const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for the report that tells a dead server from a cut connection.
+pub const VERDICT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest wait until a server is free for a run alone.
+pub const ISOLATE_TIMEOUT: Duration = Duration::from_secs(30);
+/// How far interactive work may fill a server above its slots, in percent.
+const INTERACTIVE_FILL_PERCENT: u32 = 125;
+/// One of this many slots is kept free of rollouts.
+const RESERVE_SHARE: u32 = 8;
+/// Share of a service's servers that may be kept free for suspects at a time.
+const ISOLATED_SHARE: usize = 4;
+/// Weight of the newest sample in the mean time that a request holds a slot.
+const HOLD_WEIGHT: f64 = 0.05;
+/// Assumed time that a request holds a slot before the first one ended, in seconds.
+const HOLD_FIRST: f64 = 0.2;
+
+type QueueKey = (Class, u64, WorkId);
+
+#[derive(Debug)]
+struct Queue {
+    entries: BTreeSet<QueueKey>,
+    interactive: usize,
+    /// Mean time that an interactive request holds a slot, in seconds.
+    mean_hold: f64,
+}
+
+impl Default for Queue {
+    fn default() -> Queue {
+        Queue { entries: BTreeSet::new(), interactive: 0, mean_hold: HOLD_FIRST }
+    }
+}
+
+/// All work of one daemon on backend servers.
+#[derive(Debug)]
+pub struct Dispatcher<P> {
+    host: HostId,
+    /// The servers; the owner reads them, and changes them through the dispatcher.
+    fleet: Fleet,
+    pick: P,
+    budget: RetryBudget,
+    quarantine: Quarantine,
+    link: TokenBucket,
+    limits: DispatchLimits,
+    queues: BTreeMap<ServiceName, Queue>,
+    works: FxHashMap<WorkId, WorkState>,
+    /// Running attempts; an event for any other attempt is dropped.
+    attempts: FxHashMap<AttemptId, WorkId>,
+    next_attempt: u64,
+    incarnation: u64,
+    stats: DispatchStats,
+}
+
+impl<P: Pick> Dispatcher<P> {
+    /// A dispatcher without servers. `incarnation` must differ for each start of the host.
+    pub fn new(place: Place, incarnation: u64, pick: P) -> Dispatcher<P> {
+        let limits = DispatchLimits { queue_length: 0, link_bytes_per_s: 1 };
+        Dispatcher {
+            host: place.host.clone(),
+            fleet: Fleet::new(place),
+            pick,
+            budget: RetryBudget::new(0),
+            quarantine: Quarantine::default(),
+            link: TokenBucket::new(Now::ZERO, 1.0, 1.0),
+            limits,
+            queues: BTreeMap::new(),
+            works: FxHashMap::default(),
+            attempts: FxHashMap::default(),
+            next_attempt: 0,
+            incarnation,
+            stats: DispatchStats::default(),
+        }
+    }
+
+    /// Takes a manifest; `daemons` are the hosts alive, this one included.
+    pub fn configure(
+        &mut self,
+        now: Now,
+        manifest: &Manifest,
+        daemons: &[HostId],
+        out: &mut Vec<DispatchAction>,
+    ) {
+        let rate = manifest.limits.region_link_bytes_per_s;
+        if rate != self.limits.link_bytes_per_s {
+            self.link = TokenBucket::new(now, rate as f64, rate as f64);
+        }
+        self.limits = DispatchLimits {
+            queue_length: manifest.limits.queue_length as usize,
+            link_bytes_per_s: rate,
+        };
+        self.budget.configure(manifest.limits.retry_percent);
+        self.fleet.configure(manifest, daemons);
+        self.refuse_removed_services(now, out);
+        self.pump(now, out);
+    }
+
+    /// The servers.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Counters.
+    pub fn stats(&self) -> &DispatchStats {
+        &self.stats
+    }
+
+    /// Suspects and quarantined fingerprints.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    /// Work queued or running.
+    pub fn in_flight(&self) -> usize {
+        self.works.len()
+    }
+
+    /// Queued entries of a service.
+    pub fn queued(&self, service: &str) -> usize {
+        self.queues.get(service).map_or(0, |queue| queue.entries.len())
+    }
+
+    /// Takes what another daemon knows of suspects.
+    pub fn on_gossip(&mut self, now: Now, quarantined: &[Fingerprint], suspects: &[Fingerprint]) {
+        self.quarantine.on_gossip(now, quarantined, suspects);
+    }
+
+    /// Takes the servers that are leaving as the host list and other daemons say.
+    pub fn set_leaving(&mut self, leaving: &FxHashSet<ServerId>) {
+        self.fleet.set_leaving(leaving);
+    }
+
+    /// Takes work, or refuses it at once; a refused piece of work did not run.
+    pub fn submit(
+        &mut self,
+        now: Now,
+        work: Work,
+        out: &mut Vec<DispatchAction>,
+    ) -> Result<(), Refusal> {
+        self.check(now, &work)?;
+        let id = work.id;
+        let suspect = self.quarantine.standing(work.fingerprint) == Standing::Suspect;
+        self.works.insert(id, WorkState::new(work));
+        self.budget.first_try();
+        if suspect {
+            self.ask(id, out);
+        } else {
+            self.enqueue(id);
+            self.pump(now, out);
+        }
+        Ok(())
+    }
+
+    /// Drops work whose owner no longer wants it.
+    pub fn cancel(&mut self, now: Now, id: WorkId, out: &mut Vec<DispatchAction>) {
+        if self.works.contains_key(&id) {
+            self.stop_attempt(now, id, out);
+            self.remove(id);
+            self.pump(now, out);
+        }
+    }
+
+    /// Lets deadlines pass, sees stalled streams and starts what can start.
+    pub fn tick(&mut self, now: Now, out: &mut Vec<DispatchAction>) {
+        self.expire(now, out);
+        self.check_stalls(now, out);
+        self.ask_again(now, out);
+        self.with_quarantine(now, out, |quarantine, actions| quarantine.tick(now, actions));
+        self.pump(now, out);
+    }
+
+    fn check(&self, now: Now, work: &Work) -> Result<(), Refusal> {
+        let service = &work.service;
+        let Some(servers) = self.fleet.service(service) else {
+            let message = format!("service {service:?} does not exist in the manifest");
+            return Err(Refusal::new(ErrorKind::NotFound, message));
+        };
+        if self.quarantine.standing(work.fingerprint) == Standing::Quarantined {
+            return Err(self.quarantined_refusal(work));
+        }
+        if work.class == Class::Rollout {
+            return Ok(());
+        }
+        let usable = servers.iter().filter_map(|s| self.fleet.get(s)).filter(|s| s.is_usable(now));
+        let slots: u32 = usable.map(|server| server.info.slots).sum();
+        if slots == 0 {
+            let message = format!("service {service:?} has no server that takes work now");
+            return Err(Refusal::new(ErrorKind::NoServer, message));
+        }
+        self.check_queue(now, work, slots)
+    }
+
+    /// Refuses early what would wait past its deadline.
+    fn check_queue(&self, now: Now, work: &Work, slots: u32) -> Result<(), Refusal> {
+        let Some(queue) = self.queues.get(&work.service) else { return Ok(()) };
+        let wait = queue.mean_hold * queue.interactive as f64 / f64::from(slots);
+        let wait = Duration::from_secs_f64(wait);
+        let full = queue.interactive >= self.limits.queue_length;
+        if !full && now + wait < work.deadline {
+            return Ok(());
+        }
+        let message = format!(
+            "service {:?} has {} requests waiting at this daemon",
+            work.service, queue.interactive
+        );
+        let refusal = Refusal::new(ErrorKind::Overloaded, message);
+        Err(if wait.is_zero() { refusal } else { refusal.retry_after(wait) })
+    }
+
+    fn quarantined_refusal(&self, work: &Work) -> Refusal {
+        let message = format!(
+            "request {:016x} crashed servers of service {:?} and is not run again",
+            work.fingerprint, work.service
+        );
+        Refusal::new(ErrorKind::Quarantined, message)
+    }
+
+    fn enqueue(&mut self, id: WorkId) {
+        let Some(state) = self.works.get_mut(&id) else { return };
+        state.stage = Stage::Queued;
+        let key = (state.work.class, state.work.rank, id);
+        let queue = self.queues.entry(state.work.service.clone()).or_default();
+        queue.entries.insert(key);
+        queue.interactive += usize::from(state.work.class == Class::Interactive);
+    }
+
+    fn unqueue(&mut self, id: WorkId) {
+        let Some(state) = self.works.get(&id) else { return };
+        let Some(queue) = self.queues.get_mut(&state.work.service) else { return };
+        if queue.entries.remove(&(state.work.class, state.work.rank, id)) {
+            queue.interactive -= usize::from(state.work.class == Class::Interactive);
+        }
+    }
+
+    fn remove(&mut self, id: WorkId) -> Option<WorkState> {
+        self.unqueue(id);
+        self.works.remove(&id)
+    }
+
+    /// Gives up work and says so to its owner at once.
+    fn fail(&mut self, id: WorkId, refusal: Refusal, out: &mut Vec<DispatchAction>) {
+        let Some(state) = self.remove(id) else { return };
+        let refusal = state.honest(refusal);
+        let event = WorkEvent::Failed { refusal, progress: state.progress };
+        out.push(DispatchAction::Emit { work: id, event });
+    }
+
+    /// Starts queued work for which a server has room.
+    fn pump(&mut self, now: Now, out: &mut Vec<DispatchAction>) {
+        let services: Vec<_> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.pump_service(now, &service, out);
+        }
+    }
+
+    fn pump_service(&mut self, now: Now, service: &str, out: &mut Vec<DispatchAction>) {
+        let mut skipped = 0;
+        let mut after = None;
+        while skipped < SCAN_DEPTH {
+            let Some(key) = self.next_queued(service, after) else { return };
+            after = Some(key);
+            let id = key.2;
+            match self.choose(now, id) {
+                Some(server) => {
+                    self.unqueue(id);
+                    self.start(now, id, server, out);
+                }
+                None => skipped += 1,
+            }
+        }
+    }
+
+    fn next_queued(&self, service: &str, after: Option<QueueKey>) -> Option<QueueKey> {
+        use std::ops::Bound::{Excluded, Unbounded};
+        let entries = &self.queues.get(service)?.entries;
+        let from = after.map_or(Unbounded, Excluded);
+        entries.range((from, Unbounded)).next().copied()
+    }
+
+    fn choose(&mut self, now: Now, id: WorkId) -> Option<ServerId> {
+        let remote = self.link.has_tokens(now);
+        let state = self.works.get(&id)?;
+        let servers = self.fleet.service(&state.work.service)?;
+        let can_run = |server: &&ServerState| {
+            server.is_usable(now)
+                && server.isolated_for.is_none()
+                && server.version() >= state.work.min_version()
+                && has_room(server, state.work.class)
+                && (remote || server.distance != Distance::Remote)
+                && state.work.avoid.as_ref() != Some(&server.info.name)
+        };
+        let able: Vec<_> =
+            servers.iter().filter_map(|s| self.fleet.get(s)).filter(can_run).collect();
+        let fresh: Vec<_> = able.iter().filter(|s| !state.tried.contains(&s.info.name)).collect();
+        let candidates: Vec<_> = if fresh.is_empty() {
+            able.iter().map(|server| Candidate { server }).collect()
+        } else {
+            fresh.iter().map(|server| Candidate { server }).collect()
+        };
+        self.pick.pick(&candidates, state.work.prefix)
+    }
+
+    fn start(&mut self, now: Now, id: WorkId, server: ServerId, out: &mut Vec<DispatchAction>) {
+        let attempt = self.new_attempt();
+        self.start_attempt(now, id, attempt, server, false, out);
+    }
+
+    fn start_attempt(
+        &mut self,
+        now: Now,
+        id: WorkId,
+        attempt: AttemptId,
+        server: ServerId,
+        alone: bool,
+        out: &mut Vec<DispatchAction>,
+    ) {
+        let Some(known) = self.fleet.get(&server) else { return };
+        let address = known.info.address.clone();
+        let remote = known.distance == Distance::Remote;
+        let Some(state) = self.works.get_mut(&id) else { return };
+        state.tries += 1;
+        state.tried.push(server.clone());
+        state.stage = Stage::Running {
+            attempt: attempt.clone(),
+            server: server.clone(),
+            started: now,
+            progress_at: now,
+            alone,
+        };
+        let bytes = state.work.bytes() + state.progress.text.len();
+        self.stats.attempts += 1;
+        self.stats.retries += u64::from(state.tries > 1);
+        self.stats.alone_runs += u64::from(alone);
+        out.push(DispatchAction::Start {
+            attempt: attempt.clone(),
+            work: id,
+            server: server.clone(),
+            address,
+            task: state.work.task.clone(),
+            service: state.work.service.clone(),
+            class: state.work.class,
+            resume: state.progress.text.clone().freeze(),
+            resume_tokens: state.progress.tokens,
+            deadline: state.work.deadline,
+        });
+        self.attempts.insert(attempt, id);
+        self.fleet.started(&server);
+        if remote {
+            self.charge_link(now, bytes);
+        }
+    }
+
+    fn charge_link(&mut self, now: Now, bytes: usize) {
+        self.link.charge(now, bytes as f64);
+        self.stats.link_bytes += bytes as u64;
+    }
+
+    fn new_attempt(&mut self) -> AttemptId {
+        self.next_attempt += 1;
+        format!("{}.{}.{}", self.host, self.incarnation, self.next_attempt)
+    }
+
+    fn expire(&mut self, now: Now, out: &mut Vec<DispatchAction>) {
+        let due: Vec<_> =
+            self.works.values().filter(|s| now >= s.work.deadline).map(|s| s.work.id).collect();
+        for id in due {
+            let Some(state) = self.works.get(&id) else { continue };
+            let service = &state.work.service;
+            let refusal = if state.is_running() {
+                let message = format!("the answer of service {service:?} was not whole in time");
+                Refusal::new(ErrorKind::ExpiredRunning, message)
+            } else {
+                let message = format!("no server of service {service:?} was free in time");
+                Refusal::new(ErrorKind::ExpiredQueued, message)
+            };
+            self.stop_attempt(now, id, out);
+            self.fail(id, refusal, out);
+        }
+    }
+
+    fn refuse_removed_services(&mut self, now: Now, out: &mut Vec<DispatchAction>) {
+        let removed = |state: &&WorkState| self.fleet.service(&state.work.service).is_none();
+        let ids: Vec<_> = self
+            .works
+            .values()
+            .filter(removed)
+            .filter(|s| !s.is_running())
+            .map(|s| s.work.id)
+            .collect();
+        for id in ids {
+            let Some(state) = self.works.get(&id) else { continue };
+            let message = format!("service {:?} left the manifest", state.work.service);
+            self.stop_attempt(now, id, out);
+            self.fail(id, Refusal::new(ErrorKind::NotFound, message), out);
+        }
+    }
+
+    fn with_quarantine(
+        &mut self,
+        now: Now,
+        out: &mut Vec<DispatchAction>,
+        f: impl FnOnce(&mut Quarantine, &mut Vec<QuarantineAction>),
+    ) {
+        let mut actions = Vec::new();
+        f(&mut self.quarantine, &mut actions);
+        for action in actions {
+            match action {
+                QuarantineAction::Answer { attempt, grant, .. } => {
+                    self.on_grant(now, &attempt, grant, out);
+                }
+                table => out.push(DispatchAction::Quarantine(table)),
+            }
+        }
+    }
+
+    /// Takes a server's report, asked for by `Probe` or sent on its own.
+    pub fn on_report(
+        &mut self,
+        now: Now,
+        server: &str,
+        state: EngineState,
+        out: &mut Vec<DispatchAction>,
+    ) {
+        if self.fleet.on_report(now, server, state) == crate::fleet::Liveness::Restarted {
+            self.on_death(now, server, out);
+        } else {
+            self.resolve_cut(now, server, out);
+        }
+        self.pump(now, out);
+    }
+}
+
+fn has_room(server: &ServerState, class: Class) -> bool {
+    let slots = server.info.slots;
+    let load = server.load();
+    match class {
+        Class::Interactive => load < (slots * INTERACTIVE_FILL_PERCENT).div_ceil(100),
+        Class::Rollout => load < (slots - slots / RESERVE_SHARE).max(1),
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,31 @@
+//! Decision logic of buckthornfall.
+//!
+//! Each type takes the time and one input and appends the actions that follow from it. Nothing
+//! here does I/O, reads a clock, starts a thread or draws a random number of its own, so that a
+//! test can put any fault between any two steps.
+
+pub mod admission;
+pub mod auth;
+pub mod burn;
+pub mod claim;
+pub mod commit;
+pub mod config;
+pub mod dispatch;
+pub mod drain;
+pub mod entry;
+pub mod error;
+pub mod fleet;
+pub mod lease;
+pub mod membership;
+pub mod order;
+pub mod pick;
+pub mod publish;
+pub mod quarantine;
+pub mod rollout;
+pub mod step;
+pub mod table;
+
+use std::time::Duration;
+
+/// Monotonic time since the start of the process.
+pub type Now = Duration;
--- /dev/null
+++ b/crates/core/src/rollout.rs
@@ -0,0 +1,328 @@
+//! Rollout of new weights of one model over its servers: stage, then activate in waves.
+//!
+//! Orders are absolute ("be at version 41"), carry the fencing number of the lease and are
+//! reconciled against what the servers report.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use buckthornfall_proto::{
+    ids::{Fence, ServerId, ServiceName, WeightVersion},
+    manifest::{Manifest, Server},
+    messages::{EngineOrder, EngineState, OrderAction},
+};
+
+use crate::Now;
+
+/// What a rollout asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RolloutAction {
+    /// Send an order to a server.
+    Order {
+        /// The server.
+        server: ServerId,
+        /// Its address and port.
+        address: String,
+        /// The order.
+        order: EngineOrder,
+    },
+    /// All servers of the model run this version.
+    Complete {
+        /// The version.
+        version: WeightVersion,
+        /// Time since the version was published, as seen here.
+        took: Duration,
+    },
+}
+
+/// Source of weights that come from the platform's weight store.
+pub const STORE: &str = "store";
+/// Longest time that an order may still take effect after it was sent.
+pub const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which an order that shows no effect is sent again.
+const ORDER_RETRY: Duration = Duration::from_secs(3);
+/// Longest time of a swap; one that takes longer has failed partway and is ordered again.
+const SWAP_LIMIT: Duration = Duration::from_secs(8);
+/// Longest age of a report that counts.
+const REPORT_VALID: Duration = Duration::from_secs(5);
+/// Servers that load from one server at the same time.
+const COPIES_PER_SOURCE: usize = 4;
+
+#[derive(Debug, Clone)]
+struct Target {
+    info: Server,
+    report: Option<(Now, EngineState)>,
+    ordered: Option<Ordered>,
+}
+
+#[derive(Debug, Clone)]
+struct Ordered {
+    at: Now,
+    action: OrderAction,
+    version: WeightVersion,
+    source: String,
+}
+
+/// The rollout of one model in one region by the holder of its lease.
+#[derive(Debug)]
+pub struct Rollout {
+    model: ServiceName,
+    region: String,
+    floor_percent: u32,
+    targets: BTreeMap<ServerId, Target>,
+    /// Highest version that was published.
+    wanted: WeightVersion,
+    wanted_since: Now,
+    completed: WeightVersion,
+    fence: Fence,
+    /// No order before this time, so that orders of the last holder have ended.
+    quiet_until: Now,
+}
+
+impl Rollout {
+    /// The rollout of a model in a region that has no servers yet.
+    pub fn new(model: &str, region: &str) -> Rollout {
+        Rollout {
+            model: model.to_owned(),
+            region: region.to_owned(),
+            floor_percent: 0,
+            targets: BTreeMap::new(),
+            wanted: 0,
+            wanted_since: Now::ZERO,
+            completed: 0,
+            fence: 0,
+            quiet_until: Now::ZERO,
+        }
+    }
+
+    /// Takes the model's servers from a manifest.
+    pub fn configure(&mut self, manifest: &Manifest) {
+        let Some(model) = manifest.models.iter().find(|m| m.name == self.model) else {
+            self.targets.clear();
+            return;
+        };
+        self.floor_percent = model.capacity_floor_percent;
+        let mut old = std::mem::take(&mut self.targets);
+        let region = manifest.regions.iter().find(|region| region.name == self.region);
+        let zones = region.map_or(&[][..], |region| &region.zones);
+        for info in model.servers.iter().filter(|info| zones.contains(&info.zone)) {
+            let known = old.remove(&info.name).filter(|t| t.info.address == info.address);
+            let (report, ordered) = known.map_or((None, None), |t| (t.report, t.ordered));
+            let target = Target { info: info.clone(), report, ordered };
+            self.targets.insert(info.name.clone(), target);
+        }
+    }
+
+    /// Servers of the model with their addresses.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.targets.values().map(|target| &target.info)
+    }
+
+    /// Whether a server is not known to run the wanted version.
+    pub fn is_under_way(&self) -> bool {
+        self.completed < self.wanted
+    }
+
+    /// Takes the news that a server refused an order or could not be reached.
+    pub fn on_order_failed(&mut self, now: Now, server: &str) {
+        if let Some(ordered) = self.targets.get_mut(server).and_then(|t| t.ordered.as_mut()) {
+            ordered.at = ordered.at.min(now.saturating_sub(ORDER_RETRY / 2));
+        }
+    }
+
+    /// Version that the servers are brought to.
+    pub fn wanted(&self) -> WeightVersion {
+        self.wanted
+    }
+
+    /// Takes a published version; an older one than before changes nothing.
+    pub fn on_published(&mut self, now: Now, version: WeightVersion) {
+        if version > self.wanted {
+            self.wanted = version;
+            self.wanted_since = now;
+        }
+    }
+
+    /// Takes a server's report.
+    pub fn on_report(&mut self, now: Now, server: &str, state: EngineState) {
+        let Some(target) = self.targets.get_mut(server) else { return };
+        let done = target.ordered.as_ref().is_some_and(|ordered| ordered.shows_in(&state));
+        if done {
+            target.ordered = None;
+        }
+        target.report = Some((now, state));
+    }
+
+    /// Sends the orders that are due. `fence` is the fencing number, if the lease still allows
+    /// an order that takes `ORDER_TIMEOUT`.
+    pub fn tick(&mut self, now: Now, fence: Option<Fence>, out: &mut Vec<RolloutAction>) {
+        let Some(fence) = fence else { return };
+        self.take_over(now, fence);
+        if now < self.quiet_until || self.wanted == 0 {
+            return;
+        }
+        self.forget_lost_orders(now);
+        self.stage(now, out);
+        self.activate(now, out);
+        self.complete(now, out);
+    }
+
+    /// A new holder waits until no order of the last one can still take effect, and counts only
+    /// reports from after that.
+    fn take_over(&mut self, now: Now, fence: Fence) {
+        if fence == self.fence {
+            return;
+        }
+        self.fence = fence;
+        let unchecked = self.targets.values().any(|target| !target.info.checks_fence);
+        if unchecked {
+            self.quiet_until = now + ORDER_TIMEOUT;
+        }
+        for target in self.targets.values_mut() {
+            target.report = None;
+            target.ordered = None;
+        }
+    }
+
+    fn forget_lost_orders(&mut self, now: Now) {
+        for target in self.targets.values_mut() {
+            let lost = target.ordered.as_ref().is_some_and(|ordered| {
+                let swapping = target.report.as_ref().is_some_and(|(_, state)| state.swapping);
+                let patience = if swapping { SWAP_LIMIT } else { ORDER_RETRY };
+                now.saturating_sub(ordered.at) > patience
+            });
+            if lost {
+                target.ordered = None;
+            }
+        }
+    }
+
+    fn stage(&mut self, now: Now, out: &mut Vec<RolloutAction>) {
+        let wanted = self.wanted;
+        let behind: Vec<_> = self
+            .targets
+            .values()
+            .filter(|target| target.is_known(now) && target.ordered.is_none())
+            .filter(|target| !target.holds(wanted))
+            .map(|target| target.info.name.clone())
+            .collect();
+        for server in behind {
+            if let Some(source) = self.source(now) {
+                self.order(now, &server, OrderAction::Stage, source, out);
+            }
+        }
+    }
+
+    /// The weights cross the link to the region once; there, servers copy from each other.
+    fn source(&self, now: Now) -> Option<String> {
+        let holders = self.targets.values().filter(|t| t.is_known(now) && t.holds(self.wanted));
+        let copies = |address: &str| {
+            let loads = |t: &&Target| t.ordered.as_ref().is_some_and(|o| o.source == address);
+            self.targets.values().filter(loads).count()
+        };
+        let least =
+            holders.map(|target| (copies(&target.info.address), &target.info.address)).min();
+        if let Some((copies, address)) = least {
+            return (copies < COPIES_PER_SOURCE).then(|| address.clone());
+        }
+        let loads_from_store =
+            |t: &Target| t.ordered.as_ref().is_some_and(|ordered| ordered.source == STORE);
+        let from_store = self.targets.values().any(loads_from_store);
+        (!from_store).then(|| STORE.to_owned())
+    }
+
+    fn activate(&mut self, now: Now, out: &mut Vec<RolloutAction>) {
+        let mut allowed = self.wave_room(now);
+        let staged: Vec<_> = self
+            .targets
+            .values()
+            .filter(|t| t.is_known(now) && t.ordered.is_none() && t.has_staged(self.wanted))
+            .map(|t| t.info.name.clone())
+            .collect();
+        for server in staged {
+            if allowed == 0 {
+                return;
+            }
+            allowed -= 1;
+            self.order(now, &server, OrderAction::Activate, String::new(), out);
+        }
+    }
+
+    /// Servers that may be out of service more than are now, so that the floor holds.
+    fn wave_room(&self, now: Now) -> usize {
+        let total = self.targets.len();
+        let floor = (total * self.floor_percent as usize).div_ceil(100);
+        let serving = self.targets.values().filter(|target| target.is_serving(now)).count();
+        let room = serving.saturating_sub(floor);
+        if room == 0 && serving == self.targets.len() {
+            // A floor that allows no server out of service would stop every rollout.
+            return 1;
+        }
+        room
+    }
+
+    fn order(
+        &mut self,
+        now: Now,
+        server: &str,
+        action: OrderAction,
+        source: String,
+        out: &mut Vec<RolloutAction>,
+    ) {
+        let Some(target) = self.targets.get_mut(server) else { return };
+        target.ordered =
+            Some(Ordered { at: now, action, version: self.wanted, source: source.clone() });
+        out.push(RolloutAction::Order {
+            server: server.to_owned(),
+            address: target.info.address.clone(),
+            order: EngineOrder {
+                fence: self.fence,
+                model: self.model.clone(),
+                action,
+                version: self.wanted,
+                source,
+            },
+        });
+    }
+
+    fn complete(&mut self, now: Now, out: &mut Vec<RolloutAction>) {
+        let active =
+            |t: &Target| t.is_known(now) && t.state().is_some_and(|s| s.active == self.wanted);
+        if self.is_under_way() && self.targets.values().all(active) {
+            self.completed = self.wanted;
+            let took = now.saturating_sub(self.wanted_since);
+            out.push(RolloutAction::Complete { version: self.wanted, took });
+        }
+    }
+}
+
+impl Target {
+    fn state(&self) -> Option<&EngineState> {
+        self.report.as_ref().map(|(_, state)| state)
+    }
+
+    fn is_known(&self, now: Now) -> bool {
+        self.report.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) <= REPORT_VALID)
+    }
+
+    fn holds(&self, version: WeightVersion) -> bool {
+        self.state().is_some_and(|s| s.active >= version || s.staged >= version)
+    }
+
+    fn has_staged(&self, version: WeightVersion) -> bool {
+        self.state().is_some_and(|s| s.active < version && s.staged == version)
+    }
+
+    fn is_serving(&self, now: Now) -> bool {
+        let activating = self.ordered.as_ref().is_some_and(|o| o.action == OrderAction::Activate);
+        self.is_known(now) && !activating && self.state().is_some_and(|s| !s.swapping)
+    }
+}
+
+impl Ordered {
+    fn shows_in(&self, state: &EngineState) -> bool {
+        match self.action {
+            OrderAction::Stage => state.active >= self.version || state.staged >= self.version,
+            OrderAction::Activate => state.active >= self.version && !state.swapping,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/step/policy.rs
@@ -0,0 +1,107 @@
+//! What to do about samples that become too old and about stragglers.
+
+use std::time::Duration;
+
+use buckthornfall_proto::{
+    ids::WeightVersion,
+    manifest::{Objective, Trainer},
+};
+
+use super::{group::Hedge, SlotId, StepAction, StepCoordinator};
+use crate::{order::Order, Now};
+
+/// Choices of one coordinator, from the trainer's settings and the objective.
+#[derive(Debug, Clone)]
+pub struct StepPolicy {
+    /// How many versions behind the trainer a run may start; never above the staleness bound.
+    pub start_bound: u64,
+    /// Longest run of one sample.
+    pub deadline: Duration,
+    /// A run below this share of the median token rate gets a second run, in percent; 0 for none.
+    pub hedge_below_percent: u32,
+    /// Tokens of second runs as a share of the useful tokens, in per mille.
+    pub hedge_budget_per_mille: u64,
+}
+
+/// Shortest run whose token rate is judged.
+const JUDGE_AFTER: Duration = Duration::from_millis(300);
+const HEDGE_BELOW_PERCENT: u32 = 50;
+const HEDGE_BUDGET_PER_MILLE: u64 = 40;
+
+impl StepPolicy {
+    /// The policy for an objective: the more staleness weighs, the fresher a server must be to
+    /// start a run.
+    pub fn new(trainer: &Trainer, objective: &Objective) -> StepPolicy {
+        let share = u64::from(objective.idle_percent);
+        StepPolicy {
+            start_bound: trainer.staleness_bound * share / 100,
+            deadline: Duration::from_millis(trainer.step_deadline_ms),
+            hedge_below_percent: HEDGE_BELOW_PERCENT,
+            hedge_budget_per_mille: HEDGE_BUDGET_PER_MILLE,
+        }
+    }
+
+    /// Oldest version with which a run may start.
+    pub fn min_version(&self, trainer_version: WeightVersion) -> WeightVersion {
+        trainer_version.saturating_sub(self.start_bound)
+    }
+}
+
+impl<O: Order> StepCoordinator<O> {
+    /// Ends runs whose first tokens are already too old to be delivered.
+    pub(super) fn cancel_doomed(&mut self, now: Now, out: &mut Vec<StepAction>) {
+        let bound = self.trainer.staleness_bound;
+        let newest = self.trainer_version;
+        let doomed: Vec<_> = self
+            .slots()
+            .flat_map(|(id, slot)| slot.runs.iter().map(move |run| (id, run)))
+            .filter(|(_, run)| run.oldest.is_some_and(|oldest| oldest + bound < newest))
+            .map(|(id, run)| (id, run.work, run.tokens))
+            .collect();
+        for (id, work, tokens) in doomed {
+            self.works.remove(&work);
+            self.stats.wasted_tokens += u64::from(tokens);
+            out.push(StepAction::Cancel(work));
+            if let Some(slot) = self.slot_mut(id) {
+                slot.runs.retain(|run| run.work != work);
+            }
+        }
+        self.start_due(now, out);
+    }
+
+    /// Runs slow samples a second time on other servers, while slots are idle.
+    pub(super) fn hedge(&mut self, now: Now, idle_slots: usize, out: &mut Vec<StepAction>) {
+        if idle_slots == 0 || self.policy.hedge_below_percent == 0 {
+            return;
+        }
+        let spent = self.stats.hedges * self.mean_tokens();
+        let budget = self.stats.useful_tokens * self.policy.hedge_budget_per_mille / 1000;
+        if spent > budget {
+            return;
+        }
+        for id in self.slow_slots(now).into_iter().take(idle_slots) {
+            self.start_run(now, id, Some(Hedge { avoid: None }), out);
+        }
+    }
+
+    fn mean_tokens(&self) -> u64 {
+        let samples = self.slots().filter_map(|(_, slot)| slot.sample.as_ref());
+        let (count, sum) =
+            samples.fold((0u64, 0u64), |(n, s), sample| (n + 1, s + u64::from(sample.tokens)));
+        sum.checked_div(count).unwrap_or(0)
+    }
+
+    fn slow_slots(&self, now: Now) -> Vec<SlotId> {
+        let judged = self.slots().filter_map(|(id, slot)| {
+            let [run] = slot.runs.as_slice() else { return None };
+            let old_enough = now.saturating_sub(run.started) >= JUDGE_AFTER;
+            (!run.scoring && !run.hedge && old_enough).then_some((id, run.rate(now).unwrap_or(0.0)))
+        });
+        let judged: Vec<_> = judged.collect();
+        let mut rates: Vec<f64> = judged.iter().map(|(_, rate)| *rate).collect();
+        rates.sort_by(f64::total_cmp);
+        let Some(median) = rates.get(rates.len() / 2) else { return Vec::new() };
+        let limit = median * f64::from(self.policy.hedge_below_percent) / 100.0;
+        judged.into_iter().filter(|(_, rate)| *rate < limit).map(|(id, _)| id).collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/actors.rs
@@ -0,0 +1,16 @@
+//! The actors of one daemon.
+
+pub mod control;
+pub mod io;
+pub mod lease;
+pub mod node;
+pub mod requests;
+pub mod rollout;
+pub mod serving;
+pub mod trainer;
+pub mod view;
+
+use std::time::Duration;
+
+/// Time between two ticks of an actor.
+pub const TICK: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/daemon/src/actors/serving.rs
@@ -0,0 +1,396 @@
+//! Runs work on backend servers and watches their reports.
+
+use std::{
+    rc::Rc,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    time::{Duration, Instant},
+};
+
+use buckthornfall_core::{
+    dispatch::{DispatchAction, Dispatcher, Work, WorkEvent, WorkId},
+    pick::LocalityPick,
+    quarantine::QuarantineAction,
+    Now,
+};
+use buckthornfall_proto::{
+    ids::{AttemptId, Fingerprint, ServerId, ServiceName},
+    messages::{Isolation, ServerStatus},
+};
+use log::{info, warn};
+use rustc_hash::{FxHashMap, FxHashSet};
+use stakker::{
+    after, call, fwd, fwd_to, ret_some_to,
+    sync::{Channel, ChannelGuard},
+    Actor, Fwd, CX,
+};
+
+use super::{
+    io::Io,
+    view::{Identity, View},
+    TICK,
+};
+use crate::{
+    io::{Job, JobResult},
+    stream::{AttemptJob, AttemptNews, Streams},
+    telemetry::Telemetry,
+};
+
+/// News of one piece of work for its owner.
+pub type WorkNews = (WorkId, WorkEvent);
+
+/// Time between two reports of a server.
+const POLL: Duration = Duration::from_millis(500);
+/// Time between two summaries for the other actors.
+const SUMMARY: Duration = Duration::from_millis(250);
+/// Time between two looks at a server that should run nothing else.
+const ISOLATION_POLL: Duration = Duration::from_millis(50);
+/// Longest isolation of a server.
+const ISOLATION: Duration = Duration::from_secs(60);
+
+/// What the other actors need to know of the servers.
+#[derive(Debug, Clone, Default)]
+pub struct ServingSummary {
+    /// All servers of this daemon.
+    pub servers: Vec<ServerStatus>,
+    /// Free slots by service.
+    pub idle_slots: FxHashMap<ServiceName, usize>,
+    /// Servers that said themselves that they are leaving.
+    pub leaving: Vec<ServerId>,
+    /// Quarantined fingerprints.
+    pub quarantined: Vec<Fingerprint>,
+    /// Suspects that other daemons should know.
+    pub suspects: Vec<Fingerprint>,
+}
+
+/// The servers of one daemon and the work on them.
+pub struct Serving {
+    identity: Identity,
+    io: Actor<Io>,
+    dispatcher: Dispatcher<LocalityPick>,
+    streams: Streams,
+    owners: FxHashMap<WorkId, Fwd<WorkNews>>,
+    cancels: FxHashMap<AttemptId, Arc<AtomicBool>>,
+    /// Servers whose report was asked for and has not come.
+    polling: FxHashSet<ServerId>,
+    next_poll: Now,
+    next_summary: Now,
+    summary: Fwd<Rc<ServingSummary>>,
+    revision: u64,
+    alive: Rc<Vec<String>>,
+    _guard: ChannelGuard,
+}
+
+impl Serving {
+    /// Starts the stream threads.
+    pub fn init(
+        cx: CX![],
+        identity: Identity,
+        io: Actor<Io>,
+        threads: u32,
+        telemetry: Telemetry,
+        summary: Fwd<Rc<ServingSummary>>,
+    ) -> Option<Serving> {
+        let news = fwd_to!([cx], on_news() as (AttemptNews));
+        let (news, guard) = Channel::new(cx, news);
+        let place = identity.place.clone();
+        let streams = match Streams::start(threads, &place.zone, &place.region, &news, &telemetry) {
+            Ok(streams) => streams,
+            Err(e) => {
+                cx.fail(e);
+                return None;
+            }
+        };
+        call!([cx], tick());
+        Some(Serving {
+            dispatcher: Dispatcher::new(place, identity.incarnation, LocalityPick),
+            identity,
+            io,
+            streams,
+            owners: FxHashMap::default(),
+            cancels: FxHashMap::default(),
+            polling: FxHashSet::default(),
+            next_poll: Now::ZERO,
+            next_summary: Now::ZERO,
+            summary,
+            revision: 0,
+            alive: Rc::new(Vec::new()),
+            _guard: guard,
+        })
+    }
+
+    /// Runs work; all news, also a refusal, go to `owner`.
+    pub fn submit(&mut self, cx: CX![], work: Work, owner: Fwd<WorkNews>) {
+        let id = work.id;
+        let progress = work.resume.clone();
+        let mut out = Vec::new();
+        match self.dispatcher.submit(self.now(cx.now()), work, &mut out) {
+            Ok(()) => {
+                self.owners.insert(id, owner);
+            }
+            Err(refusal) => fwd!([owner], (id, WorkEvent::Failed { refusal, progress })),
+        }
+        self.apply(cx, out);
+    }
+
+    /// Drops work that its owner no longer wants.
+    pub fn cancel(&mut self, cx: CX![], work: WorkId) {
+        self.owners.remove(&work);
+        let mut out = Vec::new();
+        self.dispatcher.cancel(self.now(cx.now()), work, &mut out);
+        self.apply(cx, out);
+    }
+
+    /// Takes the configuration and the servers that are leaving.
+    pub fn on_view(&mut self, cx: CX![], view: View) {
+        let Some(in_force) = &view.in_force else { return };
+        let mut out = Vec::new();
+        if in_force.revision != self.revision || view.alive != self.alive {
+            self.revision = in_force.revision;
+            self.alive = Rc::clone(&view.alive);
+            let now = self.now(cx.now());
+            self.dispatcher.configure(now, &in_force.manifest, &view.alive, &mut out);
+        }
+        self.dispatcher.set_leaving(&view.leaving_servers);
+        self.apply(cx, out);
+    }
+
+    /// Takes what another daemon knows of suspects.
+    pub fn on_gossip(
+        &mut self,
+        cx: CX![],
+        quarantined: Vec<Fingerprint>,
+        suspects: Vec<Fingerprint>,
+    ) {
+        self.dispatcher.on_gossip(self.now(cx.now()), &quarantined, &suspects);
+    }
+
+    fn now(&self, instant: Instant) -> Now {
+        self.identity.clock.at(instant)
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now = self.now(cx.now());
+        let mut out = Vec::new();
+        self.dispatcher.tick(now, &mut out);
+        self.apply(cx, out);
+        if now >= self.next_poll {
+            self.next_poll = now + POLL;
+            let servers: Vec<_> =
+                self.dispatcher.fleet().iter().map(|server| server.info.name.clone()).collect();
+            for server in servers {
+                self.poll(cx, server);
+            }
+        }
+        if now >= self.next_summary {
+            self.next_summary = now + SUMMARY;
+            fwd!([self.summary], Rc::new(self.summarize(now)));
+        }
+    }
+
+    fn poll(&mut self, cx: CX![], server: ServerId) {
+        let Some(known) = self.dispatcher.fleet().get(&server) else { return };
+        if !self.polling.insert(server.clone()) {
+            return;
+        }
+        let job = Job::State(known.info.address.clone());
+        let ret = ret_some_to!([cx], on_report(server) as (JobResult));
+        call!([self.io], submit(job, ret));
+    }
+
+    fn on_report(&mut self, cx: CX![], server: ServerId, result: JobResult) {
+        self.polling.remove(&server);
+        let JobResult::State(state) = result else { return };
+        let now = self.now(cx.now());
+        let mut out = Vec::new();
+        match state {
+            Some(state) => self.dispatcher.on_report(now, &server, state, &mut out),
+            None => self.dispatcher.on_unreachable(now, &server, &mut out),
+        }
+        self.apply(cx, out);
+    }
+
+    fn on_news(&mut self, cx: CX![], (attempt, event): AttemptNews) {
+        use buckthornfall_core::dispatch::AttemptEvent;
+        if !matches!(event, AttemptEvent::Tokens { .. }) {
+            self.cancels.remove(&attempt);
+        }
+        let mut out = Vec::new();
+        self.dispatcher.on_attempt(self.now(cx.now()), &attempt, event, &mut out);
+        self.apply(cx, out);
+    }
+
+    fn apply(&mut self, cx: CX![], actions: Vec<DispatchAction>) {
+        for action in actions {
+            self.act(cx, action);
+        }
+    }
+
+    fn act(&mut self, cx: CX![], action: DispatchAction) {
+        match action {
+            DispatchAction::Start { .. } => self.start(cx, action),
+            DispatchAction::Cancel { attempt } => {
+                if let Some(cancelled) = self.cancels.remove(&attempt) {
+                    cancelled.store(true, Ordering::Relaxed);
+                }
+            }
+            DispatchAction::Emit { work, event } => self.emit(work, event),
+            DispatchAction::Probe { server } => self.poll(cx, server),
+            DispatchAction::Isolate { server, address, attempt } => {
+                info!(server = server.as_str(), attempt = attempt.as_str(); "server_isolated");
+                self.isolate(cx, address, attempt);
+            }
+            DispatchAction::Unisolate { server, address, .. } => {
+                info!(server = server.as_str(); "server_released");
+                let isolation = Isolation { attempt: String::new(), millis: 0 };
+                let ret = ret_some_to!([cx], on_released() as (JobResult));
+                call!([self.io], submit(Job::Isolate { address, isolation }, ret));
+            }
+            DispatchAction::Quarantine(action) => self.quarantine(cx, action),
+        }
+    }
+
+    fn start(&mut self, cx: CX![], action: DispatchAction) {
+        let DispatchAction::Start {
+            attempt,
+            work,
+            server,
+            address,
+            task,
+            service,
+            class,
+            resume,
+            resume_tokens,
+            deadline,
+        } = action
+        else {
+            return;
+        };
+        info!(attempt = attempt.as_str(), work, server = server.as_str(); "attempt_started");
+        metrics::counter!("attempts_total", "service" => service.clone()).increment(1);
+        let cancelled = Arc::new(AtomicBool::new(false));
+        self.cancels.insert(attempt.clone(), Arc::clone(&cancelled));
+        let deadline = self.identity.clock.instant(deadline);
+        let job = AttemptJob {
+            attempt,
+            address,
+            service,
+            task,
+            class,
+            resume,
+            resume_tokens,
+            deadline,
+            cancelled,
+        };
+        if let Err(attempt) = self.streams.submit(job) {
+            call!([cx], on_no_thread(attempt));
+        }
+    }
+
+    fn on_no_thread(&mut self, cx: CX![], attempt: AttemptId) {
+        use buckthornfall_core::dispatch::AttemptEvent;
+        let reason = "all stream threads of this daemon are busy".to_owned();
+        self.on_news(cx, (attempt, AttemptEvent::NotRun { unreachable: false, reason }));
+    }
+
+    fn emit(&mut self, work: WorkId, event: WorkEvent) {
+        let is_last = !matches!(event, WorkEvent::Tokens { .. });
+        if let WorkEvent::Failed { refusal, .. } = &event {
+            let kind = refusal.kind.rule().name;
+            warn!(work, kind, reason = refusal.message.as_str(); "work_failed");
+        }
+        let Some(owner) = self.owners.get(&work) else { return };
+        fwd!([owner], (work, event));
+        if is_last {
+            self.owners.remove(&work);
+        }
+    }
+
+    fn isolate(&mut self, cx: CX![], address: String, attempt: AttemptId) {
+        let isolation =
+            Isolation { attempt: attempt.clone(), millis: ISOLATION.as_millis() as u64 };
+        let job = Job::Isolate { address: address.clone(), isolation };
+        let ret = ret_some_to!([cx], on_isolation(address, attempt) as (JobResult));
+        call!([self.io], submit(job, ret));
+    }
+
+    fn on_isolation(&mut self, cx: CX![], address: String, attempt: AttemptId, result: JobResult) {
+        let JobResult::State(state) = result else { return };
+        let busy = state.as_ref().is_some_and(|state| state.running + state.queued > 0);
+        if busy {
+            after!(ISOLATION_POLL, [cx], isolate(address, attempt));
+            return;
+        }
+        let mut out = Vec::new();
+        self.dispatcher.on_isolated(self.now(cx.now()), &attempt, state.is_some(), &mut out);
+        self.apply(cx, out);
+    }
+
+    fn on_released(&mut self, _cx: CX![], _result: JobResult) {}
+
+    fn quarantine(&mut self, cx: CX![], action: QuarantineAction) {
+        match action {
+            QuarantineAction::Read { fingerprint } => {
+                let job = Job::Read(buckthornfall_core::quarantine::key(fingerprint));
+                let ret = ret_some_to!([cx], on_quarantine(fingerprint) as (JobResult));
+                call!([self.io], submit(job, ret));
+            }
+            QuarantineAction::Txn { fingerprint, txn } => {
+                let ret = ret_some_to!([cx], on_quarantine(fingerprint) as (JobResult));
+                call!([self.io], submit(Job::Txn(txn), ret));
+            }
+            QuarantineAction::Answer { .. } => {}
+        }
+    }
+
+    fn on_quarantine(&mut self, cx: CX![], fingerprint: Fingerprint, result: JobResult) {
+        let now = self.now(cx.now());
+        let mut out = Vec::new();
+        match result {
+            JobResult::Read(reply) => {
+                self.dispatcher.on_quarantine_read(now, fingerprint, &reply, &mut out);
+            }
+            JobResult::Txn(reply) => {
+                self.dispatcher.on_quarantine_txn(now, fingerprint, &reply, &mut out);
+            }
+            _ => {}
+        }
+        self.apply(cx, out);
+    }
+
+    fn summarize(&self, now: Now) -> ServingSummary {
+        let fleet = self.dispatcher.fleet();
+        let mut idle_slots: FxHashMap<ServiceName, usize> = FxHashMap::default();
+        for server in fleet.iter().filter(|server| server.is_usable(now)) {
+            let free = server.info.slots.saturating_sub(server.load()) as usize;
+            *idle_slots.entry(server.service.clone()).or_default() += free;
+        }
+        for (service, idle) in &mut idle_slots {
+            *idle = idle.saturating_sub(self.dispatcher.queued(service));
+        }
+        let servers = fleet.iter().map(|server| ServerStatus {
+            name: server.info.name.clone(),
+            model: server.service.clone(),
+            state: server.describe(now).to_owned(),
+            version: server.version(),
+            in_flight: server.in_flight,
+        });
+        let stats = self.dispatcher.stats();
+        metrics::gauge!("work_in_flight").set(self.dispatcher.in_flight() as f64);
+        metrics::counter!("server_deaths_total").absolute(stats.deaths);
+        metrics::counter!("retries_total").absolute(stats.retries);
+        metrics::counter!("late_events_total").absolute(stats.late_events);
+        metrics::counter!("alone_runs_total").absolute(stats.alone_runs);
+        metrics::counter!("region_link_bytes_total").absolute(stats.link_bytes);
+        ServingSummary {
+            servers: servers.collect(),
+            idle_slots,
+            leaving: fleet.leaving(),
+            quarantined: self.dispatcher.quarantine().quarantined().collect(),
+            suspects: self.dispatcher.quarantine().spreading(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,65 @@
+//! `buckthornfalld`: one daemon of the rollout service.
+
+use std::{fs, process::ExitCode, thread};
+
+use buckthornfall_daemon::{cli, logging, options::Options, Daemon};
+use buckthornfall_proto::{check, settings::Settings};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use snafu::{ResultExt, Snafu};
+
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("cannot read settings {file:?}: {source}"))]
+    Read { file: String, source: std::io::Error },
+    #[snafu(display("settings {file:?} are not valid:\n{source}"))]
+    Settings { file: String, source: check::Error },
+    #[snafu(display("{source}"))]
+    Start { source: buckthornfall_daemon::daemon::Error },
+    #[snafu(display("cannot watch for signals: {source}"))]
+    Signals { source: std::io::Error },
+}
+
+/// Exit code for settings that are not valid.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let options = Options::from_matches(&cli::command().get_matches());
+    logging::init();
+    match run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            report(&e);
+            match e {
+                Error::Read { .. } | Error::Settings { .. } => ExitCode::from(EXIT_SETTINGS),
+                Error::Start { .. } | Error::Signals { .. } => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn run(options: &Options) -> Result<(), Error> {
+    let settings = read(options)?;
+    if options.check_only {
+        return Ok(());
+    }
+    let mut signals = Signals::new([SIGTERM, SIGINT]).context(SignalsSnafu)?;
+    let daemon = Daemon::start(settings).context(StartSnafu)?;
+    let stop = daemon.stopper();
+    thread::spawn(move || signals.forever().for_each(|_| stop()));
+    daemon.join();
+    Ok(())
+}
+
+fn read(options: &Options) -> Result<Settings, Error> {
+    let file = options.settings.display().to_string();
+    let text = fs::read_to_string(&options.settings).context(ReadSnafu { file: &file })?;
+    check::settings(&text).context(SettingsSnafu { file })
+}
+
+#[allow(clippy::print_stderr)]
+fn report(e: &Error) {
+    eprintln!("error: {e}");
+}
--- /dev/null
+++ b/crates/proto/src/check.rs
@@ -0,0 +1,256 @@
+//! Checks of settings and manifests: all problems at once, each with its JSON pointer.
+
+use std::collections::{HashMap, HashSet};
+
+use jsonschema::Validator;
+use serde_json::Value;
+use snafu::Snafu;
+
+use crate::{
+    manifest::{Manifest, Server},
+    settings::Settings,
+};
+
+/// One problem of a document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// JSON pointer to the value; empty for the whole document.
+    pub pointer: String,
+    /// What is wrong with the value.
+    pub message: String,
+}
+
+/// Why a document was refused.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The text is not JSON.
+    #[snafu(display("not valid JSON: {message}"))]
+    Syntax {
+        /// What the parser found, with line and column.
+        message: String,
+    },
+    /// The document breaks the schema or refers to what does not exist.
+    #[snafu(display("{}", list(problems)))]
+    Invalid {
+        /// All problems, in document order.
+        problems: Vec<Problem>,
+    },
+}
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+const SETTINGS_SCHEMA: &str = include_str!("../../../schema/settings.schema.json");
+const MANIFEST_SCHEMA: &str = include_str!("../../../schema/manifest.schema.json");
+
+/// Reads settings from JSON text.
+pub fn settings(text: &str) -> Result<Settings> {
+    let doc = parse(text)?;
+    let problems = schema_problems(SETTINGS_SCHEMA, &doc);
+    ensure_none(problems)?;
+    let settings: Settings = typed(doc)?;
+    let mut problems = Problems::default();
+    for (pointer, address) in [
+        ("/listen", &settings.listen),
+        ("/peer_listen", &settings.peer_listen),
+        ("/platform/table", &settings.platform.table),
+        ("/platform/objects", &settings.platform.objects),
+        ("/platform/host_list", &settings.platform.host_list),
+    ] {
+        problems.address(pointer.to_owned(), address);
+    }
+    ensure_none(problems.0)?;
+    Ok(settings)
+}
+
+/// Reads a manifest from JSON text.
+pub fn manifest(text: &str) -> Result<Manifest> {
+    let doc = parse(text)?;
+    ensure_none(schema_problems(MANIFEST_SCHEMA, &doc))?;
+    let manifest: Manifest = typed(doc)?;
+    ensure_none(manifest_problems(&manifest))?;
+    Ok(manifest)
+}
+
+fn list(problems: &[Problem]) -> String {
+    let lines: Vec<_> = problems.iter().map(|p| format!("{}: {}", p.pointer, p.message)).collect();
+    lines.join("\n")
+}
+
+fn parse(text: &str) -> Result<Value> {
+    serde_json::from_str(text).map_err(|e| Error::Syntax { message: e.to_string() })
+}
+
+fn typed<T: serde::de::DeserializeOwned>(doc: Value) -> Result<T> {
+    serde_json::from_value(doc).map_err(|e| Error::Syntax { message: e.to_string() })
+}
+
+fn ensure_none(problems: Vec<Problem>) -> Result<()> {
+    if problems.is_empty() {
+        Ok(())
+    } else {
+        InvalidSnafu { problems }.fail()
+    }
+}
+
+fn schema_problems(schema: &str, doc: &Value) -> Vec<Problem> {
+    let schema = serde_json::from_str(schema).expect("the schema is part of the program");
+    let validator = Validator::new(&schema).expect("the schema is part of the program");
+    validator
+        .iter_errors(doc)
+        .map(|e| Problem { pointer: e.instance_path.to_string(), message: e.to_string() })
+        .collect()
+}
+
+#[derive(Default)]
+struct Problems(Vec<Problem>);
+
+impl Problems {
+    fn add(&mut self, pointer: String, message: String) {
+        self.0.push(Problem { pointer, message });
+    }
+
+    fn address(&mut self, pointer: String, address: &str) {
+        if address.parse::<std::net::SocketAddrV4>().is_err() {
+            self.add(pointer, format!("{address:?} is not an address and port"));
+        }
+    }
+
+    fn refer(&mut self, pointer: String, kind: &str, name: &str, known: &HashSet<&str>) {
+        if !known.contains(name) {
+            self.add(pointer, format!("{kind} {name:?} does not exist in the manifest"));
+        }
+    }
+
+    fn unique<'a>(&mut self, list: &str, kind: &str, names: impl Iterator<Item = &'a str>) {
+        let mut seen = HashMap::new();
+        for (i, name) in names.enumerate() {
+            if let Some(first) = seen.insert(name, i) {
+                let message = format!("{kind} {name:?} stands already at {list}/{first}");
+                self.add(format!("{list}/{i}/name"), message);
+            }
+        }
+    }
+}
+
+fn manifest_problems(manifest: &Manifest) -> Vec<Problem> {
+    let mut problems = Problems::default();
+    check_objective(manifest, &mut problems);
+    check_names(manifest, &mut problems);
+    check_servers(manifest, &mut problems);
+    check_trainers(manifest, &mut problems);
+    check_tokens(manifest, &mut problems);
+    problems.0
+}
+
+fn check_objective(manifest: &Manifest, problems: &mut Problems) {
+    let objective = &manifest.objective;
+    let sum = objective.idle_percent + objective.staleness_percent;
+    if sum != 100 {
+        let message = format!("idle_percent and staleness_percent add up to {sum}, not to 100");
+        problems.add("/objective".to_owned(), message);
+    }
+    let regions: HashSet<_> = manifest.regions.iter().map(|r| r.name.as_str()).collect();
+    problems.refer("/store_region".to_owned(), "region", &manifest.store_region, &regions);
+}
+
+fn check_names(manifest: &Manifest, problems: &mut Problems) {
+    let m = manifest;
+    problems.unique("/regions", "region", m.regions.iter().map(|x| x.name.as_str()));
+    problems.unique("/trainers", "trainer", m.trainers.iter().map(|x| x.name.as_str()));
+    problems.unique("/callers", "caller", m.callers.iter().map(|x| x.name.as_str()));
+    problems.unique("/operators", "operator", m.operators.iter().map(|x| x.name.as_str()));
+    let mut services = HashMap::new();
+    let models = m.models.iter().map(|x| x.name.as_str()).enumerate().map(|x| ("/models", x));
+    let scoring = m.scoring_services.iter().map(|x| x.name.as_str()).enumerate();
+    let plain = m.plain_services.iter().map(|x| x.name.as_str()).enumerate();
+    let all = models
+        .chain(scoring.map(|x| ("/scoring_services", x)))
+        .chain(plain.map(|x| ("/plain_services", x)));
+    for (list, (i, name)) in all {
+        let place = format!("{list}/{i}");
+        if let Some(first) = services.insert(name, place.clone()) {
+            problems.add(
+                format!("{place}/name"),
+                format!("service {name:?} stands already at {first}"),
+            );
+        }
+    }
+    for (i, service) in m.plain_services.iter().enumerate() {
+        let names = service.operations.iter().map(|x| x.name.as_str());
+        problems.unique(&format!("/plain_services/{i}/operations"), "operation", names);
+    }
+}
+
+/// All servers of the manifest, each with the pointer to it.
+fn all_servers(manifest: &Manifest) -> Vec<(String, &Server)> {
+    let models = manifest.models.iter().map(|x| &x.servers).enumerate();
+    let scoring = manifest.scoring_services.iter().map(|x| &x.servers).enumerate();
+    let plain = manifest.plain_services.iter().map(|x| &x.servers).enumerate();
+    let lists = models
+        .map(|x| ("/models", x))
+        .chain(scoring.map(|x| ("/scoring_services", x)))
+        .chain(plain.map(|x| ("/plain_services", x)));
+    lists
+        .flat_map(|(list, (i, servers))| {
+            let place = move |(j, s)| (format!("{list}/{i}/servers/{j}"), s);
+            servers.iter().enumerate().map(place)
+        })
+        .collect()
+}
+
+fn check_servers(manifest: &Manifest, problems: &mut Problems) {
+    let zones: HashSet<_> =
+        manifest.regions.iter().flat_map(|r| r.zones.iter().map(String::as_str)).collect();
+    let mut names = HashMap::new();
+    let mut addresses = HashMap::new();
+    for (place, server) in all_servers(manifest) {
+        problems.address(format!("{place}/address"), &server.address);
+        problems.refer(format!("{place}/zone"), "availability zone", &server.zone, &zones);
+        if let Some(first) = names.insert(server.name.as_str(), place.clone()) {
+            let message = format!("server {:?} stands already at {first}", server.name);
+            problems.add(format!("{place}/name"), message);
+        }
+        if let Some(first) = addresses.insert(server.address.as_str(), place.clone()) {
+            let message = format!("address {:?} stands already at {first}", server.address);
+            problems.add(format!("{place}/address"), message);
+        }
+    }
+}
+
+fn check_trainers(manifest: &Manifest, problems: &mut Problems) {
+    let scoring: HashSet<_> = manifest.scoring_services.iter().map(|s| s.name.as_str()).collect();
+    let models: HashSet<_> = manifest.models.iter().map(|m| m.name.as_str()).collect();
+    for (i, trainer) in manifest.trainers.iter().enumerate() {
+        let place = format!("/trainers/{i}");
+        problems.refer(format!("{place}/model"), "model", &trainer.model, &models);
+        let service = &trainer.scoring_service;
+        problems.refer(format!("{place}/scoring_service"), "scoring service", service, &scoring);
+        let model = manifest.models.iter().find(|m| m.name == trainer.model);
+        if let (Some(adapter), Some(model)) = (&trainer.adapter, model) {
+            if !model.adapters.contains(adapter) {
+                let message =
+                    format!("adapter {adapter:?} does not exist in model {:?}", model.name);
+                problems.add(format!("{place}/adapter"), message);
+            }
+        }
+    }
+}
+
+fn check_tokens(manifest: &Manifest, problems: &mut Problems) {
+    let trainers = manifest.trainers.iter().map(|x| &x.token_sha256).enumerate();
+    let callers = manifest.callers.iter().map(|x| &x.token_sha256).enumerate();
+    let operators = manifest.operators.iter().map(|x| &x.token_sha256).enumerate();
+    let all = trainers
+        .map(|x| ("/trainers", x))
+        .chain(callers.map(|x| ("/callers", x)))
+        .chain(operators.map(|x| ("/operators", x)));
+    let mut seen = HashMap::new();
+    for (list, (i, digest)) in all {
+        let place = format!("{list}/{i}");
+        if let Some(first) = seen.insert(digest, place.clone()) {
+            let message = format!("the same token stands already at {first}");
+            problems.add(format!("{place}/token_sha256"), message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proto/src/digest.rs
@@ -0,0 +1,26 @@
+//! Hashes: SHA-256 for contents and tokens, XXH3 for fingerprints and ranks.
+
+use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::{xxh3_64, Xxh3};
+
+use crate::ids::Fingerprint;
+
+/// SHA-256 of `bytes` as 64 hexadecimal digits.
+pub fn sha256_hex(bytes: &[u8]) -> String {
+    Sha256::digest(bytes).iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// Hash of the parts of a request; a part's length is hashed with it.
+pub fn fingerprint(parts: &[&[u8]]) -> Fingerprint {
+    let mut hasher = Xxh3::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
+
+/// Rank of `candidate` for `key` in rendezvous hashing; the highest rank wins.
+pub fn rendezvous_rank(key: u64, candidate: &str) -> u64 {
+    xxh3_64(&[&key.to_le_bytes(), candidate.as_bytes()].concat())
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,14 @@
+//! Small stand-ins for what surrounds buckthornfall: the platform's services, model engines,
+//! scoring and plain services, trainers and callers. Each speaks the protocol of docs/API.md on
+//! a loopback address.
+
+pub mod callers;
+pub mod engine;
+pub mod faults;
+pub mod hosts;
+pub mod objects;
+pub mod server;
+pub mod service;
+pub mod table;
+pub mod trainer;
+pub mod weights;
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,202 @@
+//! A small HTTP server: a bounded number of threads, each answering one request at a time.
+
+use std::{
+    io::{self, Read, Write},
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use buckthornfall_client::http::NOT_RUN_HEADER;
+use bytes::Bytes;
+use serde::{de::DeserializeOwned, Serialize};
+use snafu::{ResultExt, Snafu};
+
+/// Why a stand-in could not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The address cannot be used.
+    #[snafu(display("cannot listen on {address:?}: {reason}"))]
+    Listen {
+        /// The address.
+        address: String,
+        /// What was seen.
+        reason: String,
+    },
+    /// A thread could not be started.
+    #[snafu(display("cannot start a thread: {source}"))]
+    Thread {
+        /// What was seen.
+        source: io::Error,
+    },
+}
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Largest body that a stand-in reads, in bytes.
+const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+const STACK_BYTES: usize = 256 * 1024;
+
+/// One request with the means to answer it.
+pub struct Call {
+    request: tiny_http::Request,
+    /// HTTP method.
+    pub method: String,
+    /// Path without the query.
+    pub path: String,
+    query: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Call {
+    fn new(mut request: tiny_http::Request) -> Call {
+        let mut body = Vec::new();
+        // A body that cannot be read is answered like an empty one: with a parse error.
+        let _ = request.as_reader().take(MAX_BODY_BYTES).read_to_end(&mut body);
+        let (path, query) = match request.url().split_once('?') {
+            Some((path, query)) => (path.to_owned(), query.to_owned()),
+            None => (request.url().to_owned(), String::new()),
+        };
+        let method = request.method().to_string();
+        Call { request, method, path, query, body: Bytes::from(body) }
+    }
+
+    /// Value of a header; empty if it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        let named = |h: &&tiny_http::Header| h.field.as_str().as_str().eq_ignore_ascii_case(name);
+        self.request.headers().iter().find(named).map_or("", |h| h.value.as_str())
+    }
+
+    /// Value of a query parameter; empty if it is absent.
+    pub fn parameter(&self, name: &str) -> &str {
+        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next().unwrap_or("")
+    }
+
+    /// The body as a message; answers the request if it is none.
+    pub fn json<T: DeserializeOwned>(self) -> Option<(Call, T)> {
+        match serde_json::from_slice(&self.body) {
+            Ok(message) => Some((self, message)),
+            Err(e) => {
+                self.text(400, &format!("the body is not valid: {e}"));
+                None
+            }
+        }
+    }
+
+    /// Answers with a document.
+    pub fn reply<T: Serialize>(self, message: &T) {
+        let body = serde_json::to_vec(message).expect("messages are plain data");
+        self.respond(tiny_http::Response::from_data(body));
+    }
+
+    /// Answers with a status and a text.
+    pub fn text(self, status: u16, text: &str) {
+        self.respond(tiny_http::Response::from_string(text).with_status_code(status));
+    }
+
+    /// Answers that the work did not run.
+    pub fn not_run(self, reason: &str) {
+        let header = tiny_http::Header::from_bytes(NOT_RUN_HEADER, "1").expect("a valid header");
+        let response = tiny_http::Response::from_string(reason).with_status_code(503);
+        self.respond(response.with_header(header));
+    }
+
+    /// Closes the connection without an answer, like a process that dies.
+    pub fn hang_up(self) {
+        drop(self.request.into_writer());
+    }
+
+    /// Starts an answer of unknown length.
+    pub fn stream(self) -> io::Result<EventStream> {
+        let mut writer = self.request.into_writer();
+        writer.write_all(
+            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+              transfer-encoding: chunked\r\nconnection: close\r\n\r\n",
+        )?;
+        Ok(EventStream { writer })
+    }
+
+    fn respond<R: Read>(self, response: tiny_http::Response<R>) {
+        // A client that hung up needs no answer.
+        let _ = self.request.respond(response);
+    }
+}
+
+/// An answer of server-sent events.
+pub struct EventStream {
+    writer: Box<dyn Write + Send>,
+}
+
+impl EventStream {
+    /// Sends one event.
+    pub fn send(&mut self, data: &str) -> io::Result<()> {
+        let event = format!("data: {data}\n\n");
+        write!(self.writer, "{:x}\r\n{event}\r\n", event.len())?;
+        self.writer.flush()
+    }
+
+    /// Ends the answer; without it the client sees a broken stream.
+    pub fn finish(mut self) -> io::Result<()> {
+        self.writer.write_all(b"0\r\n\r\n")?;
+        self.writer.flush()
+    }
+}
+
+/// What a stand-in does with a request.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, call: Call);
+}
+
+/// A running server; it stops when this is dropped.
+pub struct Server {
+    address: String,
+    server: Arc<tiny_http::Server>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Listens on `listen` with `threads` threads.
+    pub fn start<H: Handler>(listen: &str, threads: usize, handler: Arc<H>) -> Result<Server> {
+        let server = tiny_http::Server::http(listen)
+            .map_err(|e| Error::Listen { address: listen.to_owned(), reason: e.to_string() })?;
+        let address = server.server_addr().to_string();
+        let server = Arc::new(server);
+        let start = |_| {
+            let (server, handler) = (Arc::clone(&server), Arc::clone(&handler));
+            thread::Builder::new()
+                .stack_size(STACK_BYTES)
+                .spawn(move || {
+                    while let Ok(request) = server.recv() {
+                        handler.handle(Call::new(request));
+                    }
+                })
+                .context(ThreadSnafu)
+        };
+        let threads = (0..threads).map(start).collect::<Result<_>>()?;
+        Ok(Server { address, server, threads })
+    }
+
+    /// Address and port that the server listens on.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        for _ in &self.threads {
+            self.server.unblock();
+        }
+    }
+}
+
+/// Sleeps, for stand-ins whose work takes time.
+pub fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        thread::sleep(duration);
+    }
+}
