Wait for the first reports before a daemon refuses for want of servers

Cause: a daemon that had just taken a manifest refused calls with no_server until the first reports came, and the demo's readiness check passed on an empty list. Ruled out: engines out of reach, slots full.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -164,7 +164,8 @@
         return Err(Error::Refused { answer: Box::new(answer) });
     }
     let started = Instant::now();
-    while !deployment.daemons.iter().all(|daemon| is_ready(&client, &daemon.listed.address)) {
+    let ready = |address: &str| is_ready(&client, address, servers_of(&deployment.manifest));
+    while !deployment.daemons.iter().all(|daemon| ready(&daemon.listed.address)) {
         if started.elapsed() > START_LIMIT {
             return Err(failed("not all daemons are ready in time".to_owned()));
         }
@@ -173,11 +174,19 @@
     Ok(())
 }
 
-fn is_ready(client: &Client, address: &str) -> bool {
+/// Whether a daemon has the manifest and knows `servers` servers and all daemons to be well.
+fn is_ready(client: &Client, address: &str, servers: usize) -> bool {
     let Ok(reply) = client.get_from(address, "/v1/status") else { return false };
     let Ok(status) = serde_json::from_slice::<StatusAnswer>(&reply.body) else { return false };
-    let servers = status.servers.iter().all(|server| server.state == "ready");
-    status.revision == 1 && servers && status.peers.iter().all(|peer| peer.alive)
+    let ready = status.servers.iter().filter(|server| server.state == "ready").count();
+    status.revision == 1 && ready == servers && status.peers.iter().all(|peer| peer.alive)
+}
+
+fn servers_of(manifest: &Manifest) -> usize {
+    let models = manifest.models.iter().map(|model| model.servers.len());
+    let scoring = manifest.scoring_services.iter().map(|service| service.servers.len());
+    let plain = manifest.plain_services.iter().map(|service| service.servers.len());
+    models.chain(scoring).chain(plain).sum()
 }
 
 fn start_trainers(
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -241,7 +241,8 @@
         if work.class == Class::Rollout {
             return Ok(());
         }
-        let usable = servers.iter().filter_map(|s| self.fleet.get(s)).filter(|s| s.is_usable(now));
+        let known = servers.iter().filter_map(|server| self.fleet.get(server));
+        let usable = known.filter(|server| server.is_usable(now) || server.is_unheard());
         let slots: u32 = usable.map(|server| server.info.slots).sum();
         if slots == 0 {
             let message = format!("service {service:?} has no server that takes work now");
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -89,6 +89,11 @@
         ready && fresh && !self.leaving && now >= self.down_until
     }
 
+    /// Whether nothing was heard of the server yet, neither a report nor a failure.
+    pub fn is_unheard(&self) -> bool {
+        self.report.is_none() && self.failures == 0 && !self.leaving
+    }
+
     /// Whether any of the signals says that the server is leaving.
     pub fn is_leaving(&self) -> bool {
         self.leaving || self.report.as_ref().is_some_and(|report| report.state.draining)
