Fault matrix over the decision logic, and three faults that it found

One world in virtual time: three hosts made of the state machines, four engines, a store, a trainer and callers; 34 protocol steps x 17 faults.

Found and mended: - A commit whose daemon was paused past its deadline answered not_applied while its transaction was still under way (1 of 1,734 cases alone). A transaction counts as in doubt from when it is sent. - Two swaps that failed partway used up the capacity floor, so the rollout stopped (30 of 578 cases twice). A server that is out already needs no room. - Two crashes by chance quarantined an innocent request (1 of 578). Two deaths alone on a server are asked for now.

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -66,8 +66,9 @@
     deadline: Now,
     stage: Stage,
     retry_at: Option<Now>,
-    /// Whether a transaction may have taken effect without a reply.
-    may_have_applied: bool,
+    /// Transactions that were sent and may have taken effect: those without a reply yet, and
+    /// those whose reply was lost.
+    in_doubt: u32,
 }
 
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
@@ -84,7 +85,7 @@
             deadline,
             stage: Stage::Putting,
             retry_at: None,
-            may_have_applied: false,
+            in_doubt: 0,
         }
     }
 
@@ -125,11 +126,11 @@
         match reply {
             Ok(answer) if answer.committed => self.finish(Ok(self.row.clone()), out),
             Ok(_) => self.go(Stage::ReadingBack { head }, out),
-            Err(TableError::NotSent) => self.retry(now),
-            Err(TableError::NoReply) => {
-                self.may_have_applied = true;
-                self.go(Stage::ReadingBack { head }, out);
+            Err(TableError::NotSent) => {
+                self.in_doubt -= 1;
+                self.retry(now);
             }
+            Err(TableError::NoReply) => self.go(Stage::ReadingBack { head }, out),
         }
     }
 
@@ -174,7 +175,7 @@
     }
 
     fn expire(&mut self, out: &mut Vec<CommitAction>) {
-        let refusal = if self.may_have_applied {
+        let refusal = if self.in_doubt > 0 {
             let message = format!(
                 "no reply says whether revision {} was committed; ask for the status",
                 self.row.revision
@@ -209,7 +210,11 @@
                 content: self.content.clone(),
             }),
             Stage::ReadingHead => out.push(CommitAction::Read { key: HEAD_KEY.to_owned() }),
-            Stage::Writing { head } => out.push(CommitAction::Txn(self.txn(head))),
+            Stage::Writing { head } => {
+                let txn = self.txn(head);
+                self.in_doubt += 1;
+                out.push(CommitAction::Txn(txn));
+            }
             Stage::ReadingBack { .. } => {
                 out.push(CommitAction::Read { key: revision_key(self.row.revision) });
             }
--- a/crates/core/src/publish.rs
+++ b/crates/core/src/publish.rs
@@ -36,7 +36,8 @@
     row: WeightsRow,
     deadline: Now,
     retry_at: Option<Now>,
-    may_have_applied: bool,
+    /// Transactions that were sent and may have taken effect.
+    in_doubt: u32,
     done: bool,
 }
 
@@ -50,7 +51,7 @@
             row,
             deadline,
             retry_at: None,
-            may_have_applied: false,
+            in_doubt: 0,
             done: false,
         }
     }
@@ -82,7 +83,7 @@
                 }
             }
             Err(e) => {
-                self.may_have_applied |= *e == TableError::NoReply;
+                self.in_doubt -= u32::from(*e == TableError::NotSent);
                 self.retry_at = Some(now + RETRY_INTERVAL);
             }
         }
@@ -94,7 +95,7 @@
             return;
         }
         if now >= self.deadline {
-            let kind = if self.may_have_applied {
+            let kind = if self.in_doubt > 0 {
                 ErrorKind::CommitUnresolved
             } else {
                 ErrorKind::TableAway
@@ -122,7 +123,10 @@
                 );
                 self.finish(Err(Refusal::new(ErrorKind::OldWeights, message)), out);
             }
-            _ => out.push(PublishAction::Txn(table::replace(&self.key, row.version, &self.row))),
+            _ => {
+                self.in_doubt += 1;
+                out.push(PublishAction::Txn(table::replace(&self.key, row.version, &self.row)));
+            }
         }
     }
 
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -2,8 +2,9 @@
 //!
 //! Every request on a server that dies becomes a suspect. A suspect runs again alone on one
 //! server; one row of the table for each fingerprint admits one such run at a time over all
-//! daemons. A run that ends well clears the fingerprint. A death in such a run quarantines it.
-//! A death with other requests on the server never quarantines anything.
+//! daemons. A run that ends well clears the fingerprint. `DEATHS_ALONE` deaths in such runs
+//! quarantine it: one could be a server that failed by itself just then. A death with other
+//! requests on the server never quarantines anything.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -28,7 +29,7 @@
     Clear,
     /// It was on a server that died.
     Suspect,
-    /// It killed a server that ran nothing else.
+    /// Servers that ran nothing else died of it.
     Quarantined,
 }
 
@@ -99,6 +100,8 @@
 pub const SUSPECT_SPREAD: Duration = Duration::from_secs(30);
 /// How long a run alone may stand in the row before another daemon takes its place.
 pub const RUN_TERM: Duration = Duration::from_secs(120);
+/// Deaths of servers that ran nothing else, after which a request is not run again.
+pub const DEATHS_ALONE: usize = 2;
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Deaths kept in a row; the rest adds no evidence.
 const DEATHS_KEPT: usize = 8;
@@ -148,20 +151,15 @@
         }
     }
 
-    /// Records that a server died while it ran `attempt`, alone or with other requests.
+    /// Records that a server died while it ran `attempt`.
     pub fn on_death(
         &mut self,
         now: Now,
         fingerprint: Fingerprint,
         attempt: AttemptId,
-        alone: bool,
         out: &mut Vec<QuarantineAction>,
     ) {
-        if alone {
-            self.set_quarantined(fingerprint);
-        } else {
-            self.suspects.entry(fingerprint).or_insert(now);
-        }
+        self.suspects.entry(fingerprint).or_insert(now);
         self.push(fingerprint, Change::Death(attempt), out);
     }
 
@@ -345,10 +343,11 @@
             if row.deaths.len() < DEATHS_KEPT {
                 row.deaths.push(attempt.clone());
             }
-            row.quarantined |= alone;
             if alone {
+                row.deaths_alone.push(attempt.clone());
                 row.running.clear();
             }
+            row.quarantined |= row.deaths_alone.len() >= DEATHS_ALONE;
             row.attempt.clone_from(attempt);
             if row == *current {
                 return Applied::Done(Grant::Granted);
@@ -374,6 +373,7 @@
         Change::Clear(attempt) => {
             row.running.clear();
             row.deaths.clear();
+            row.deaths_alone.clear();
             row.attempt.clone_from(attempt);
             Applied::Write(row)
         }
@@ -387,6 +387,7 @@
 fn empty_row() -> PoisonRow {
     PoisonRow {
         deaths: Vec::new(),
+        deaths_alone: Vec::new(),
         running: String::new(),
         quarantined: false,
         attempt: String::new(),
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -236,13 +236,16 @@
             .targets
             .values()
             .filter(|t| t.is_known(now) && t.ordered.is_none() && t.has_staged(self.wanted))
-            .map(|t| t.info.name.clone())
+            .map(|t| (t.info.name.clone(), t.is_serving(now)))
             .collect();
-        for server in staged {
-            if allowed == 0 {
-                return;
+        for (server, serves) in staged {
+            // A swap that failed partway took its server out already, so it may go on at once.
+            if serves {
+                if allowed == 0 {
+                    continue;
+                }
+                allowed -= 1;
             }
-            allowed -= 1;
             self.order(now, &server, OrderAction::Activate, String::new(), out);
         }
     }
--- /dev/null
+++ b/crates/core/tests/fault_matrix.rs
@@ -0,0 +1,163 @@
+//! Every fault of the brief at every step of the protocols: alone, twice, and in pairs.
+//!
+//! The cases are generated from the lists in `matrix/plan.rs`. Virtual time and a fixed seed make
+//! every run the same. On a failure the plan and the trace of its events are printed.
+
+#[path = "matrix/checks.rs"]
+mod checks;
+#[path = "matrix/clients.rs"]
+mod clients;
+#[path = "matrix/fakes.rs"]
+mod fakes;
+#[path = "matrix/glue.rs"]
+mod glue;
+#[path = "matrix/host.rs"]
+mod host;
+#[path = "matrix/plan.rs"]
+mod plan;
+#[path = "matrix/world.rs"]
+mod world;
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write,
+    sync::atomic::{AtomicUsize, Ordering},
+    thread,
+};
+
+use plan::{Fault, Mutation, Step, Trigger};
+use world::World;
+
+const SEED: u64 = 7;
+const THREADS: usize = 6;
+/// Messages of a step at which a single fault comes.
+const OCCURRENCES: [u32; 3] = [1, 2, 5];
+/// Failed cases that are printed whole.
+const PRINTED: usize = 3;
+const TRACE_LINES: usize = 120;
+
+type Case = Vec<Trigger>;
+
+fn trigger(step: Step, occurrence: u32, fault: Fault) -> Trigger {
+    Trigger { step, occurrence, fault }
+}
+
+fn run(plan: &[Trigger], mutation: Option<Mutation>) -> World {
+    let mut world = World::new(plan, mutation, SEED);
+    world.run();
+    world
+}
+
+struct Failure {
+    case: Case,
+    violations: Vec<String>,
+    trace: Vec<String>,
+}
+
+/// Runs all cases; returns those that failed and how many triggers fired in each.
+fn run_all(cases: &[Case]) -> (Vec<Failure>, Vec<usize>) {
+    let next = AtomicUsize::new(0);
+    let work = || {
+        let mut done = Vec::new();
+        loop {
+            let index = next.fetch_add(1, Ordering::Relaxed);
+            let Some(case) = cases.get(index) else { return done };
+            let world = run(case, None);
+            let failure = (!world.violations.is_empty()).then(|| Failure {
+                case: case.clone(),
+                violations: world.violations,
+                trace: world.trace,
+            });
+            done.push((index, world.fired, failure));
+        }
+    };
+    let mut all: Vec<_> = thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(work)).collect();
+        threads.into_iter().flat_map(|t| t.join().expect("no case panics")).collect()
+    });
+    all.sort_by_key(|(index, _, _)| *index);
+    let fired = all.iter().map(|(_, fired, _)| *fired).collect();
+    (all.into_iter().filter_map(|(_, _, failure)| failure).collect(), fired)
+}
+
+fn explain(failures: &[Failure], cases: usize) -> String {
+    let mut text = format!("{} of {cases} cases failed, seed {SEED}\n", failures.len());
+    let mut kinds: BTreeMap<String, usize> = BTreeMap::new();
+    for failure in failures {
+        let kind = failure.violations[0].split(':').next().unwrap_or_default().to_owned();
+        *kinds.entry(kind).or_default() += 1;
+    }
+    for (kind, count) in kinds {
+        let _ = writeln!(text, "{count:5} {kind}");
+    }
+    for failure in failures {
+        let _ = writeln!(text, "{:?}: {:?}", failure.case, failure.violations);
+    }
+    for failure in failures.iter().take(PRINTED) {
+        let _ = writeln!(text, "\n{:?}", failure.case);
+        let skip = failure.trace.len().saturating_sub(TRACE_LINES);
+        for line in &failure.trace[skip..] {
+            let _ = writeln!(text, "{line}");
+        }
+    }
+    text
+}
+
+fn check(cases: &[Case]) -> Vec<usize> {
+    let (failures, fired) = run_all(cases);
+    assert!(failures.is_empty(), "{}", explain(&failures, cases.len()));
+    fired
+}
+
+fn alone() -> Vec<Case> {
+    let mut cases = Vec::new();
+    for step in Step::ALL {
+        for fault in Fault::ALL {
+            cases.extend(OCCURRENCES.map(|occurrence| vec![trigger(step, occurrence, fault)]));
+        }
+    }
+    cases
+}
+
+fn twice() -> Vec<Case> {
+    let both = |step, fault| vec![trigger(step, 1, fault), trigger(step, 2, fault)];
+    Step::ALL
+        .into_iter()
+        .flat_map(|step| Fault::ALL.into_iter().map(move |fault| both(step, fault)))
+        .collect()
+}
+
+fn pairs() -> Vec<Case> {
+    let mut cases = Vec::new();
+    for step in Step::ALL {
+        for first in Fault::ALL {
+            for second in Fault::ALL.into_iter().filter(|second| *second != first) {
+                cases.push(vec![trigger(step, 1, first), trigger(step, 2, second)]);
+            }
+        }
+    }
+    cases
+}
+
+#[test]
+fn no_fault_breaks_nothing() {
+    let world = run(&[], None);
+    let trace = world.trace.join("\n");
+    assert!(world.violations.is_empty(), "{:?}\n{trace}", world.violations);
+    assert!(world.callers.iter().all(|caller| caller.answered), "{trace}");
+}
+
+#[test]
+fn each_fault_alone_at_each_step() {
+    check(&alone());
+}
+
+#[test]
+fn each_fault_twice_at_each_step() {
+    check(&twice());
+}
+
+#[test]
+fn each_pair_of_faults_at_each_step() {
+    check(&pairs());
+}
--- /dev/null
+++ b/crates/core/tests/matrix/glue.rs
@@ -0,0 +1,965 @@
+//! Connects the state machines of a host with the world, as the daemon's actors do.
+
+use std::time::Duration;
+
+use buckthornfall_core::{
+    claim::{ClaimAction, ClaimRequest},
+    commit::{Commit, CommitAction},
+    config::ConfigAction,
+    dispatch::{Class, DispatchAction, Progress, Task, Work, WorkEvent},
+    drain::DrainStage,
+    error::{ErrorKind, Refusal},
+    lease::LeaseAction,
+    publish::{weights_key, Publish, PublishAction},
+    quarantine::{self, QuarantineAction},
+    rollout::{RolloutAction, ORDER_TIMEOUT},
+    step::{StepAction, WORK_ID_BITS},
+    table,
+};
+use buckthornfall_proto::{
+    digest::{fingerprint, sha256_hex},
+    manifest::Manifest,
+    messages::{Gossip, OrderAction, Outcome, WeightsRow},
+};
+use bytes::Bytes;
+
+use crate::{
+    clients::{Answer, Ask, TrainerAnswer, TrainerAsk},
+    host::{name, ActiveRequest},
+    plan::{Mutation, Step},
+    world::{text_of, Context, Event, HostEvent, Party, StoreOp, StoreReply, World, HOSTS, REQUEST_TIMEOUT},
+};
+
+const POLL: Duration = Duration::from_millis(500);
+const LIST_POLL: Duration = Duration::from_secs(1);
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
+
+impl World {
+    pub fn host_event(&mut self, host: usize, event: HostEvent) {
+        match event {
+            HostEvent::Tick => self.tick(host),
+            HostEvent::Store { op, context, reply } => {
+                if self.hosts[host].pending_ops.remove(&op) {
+                    self.on_store_reply(host, context, reply);
+                }
+            }
+            HostEvent::Gossip { from, gossip, is_answer } => self.on_gossip(host, from, *gossip, is_answer),
+            HostEvent::Pull { from, above } => self.on_pull(host, from, above),
+            HostEvent::Push(push) => {
+                let mut out = Vec::new();
+                self.hosts[host].config.on_push(&push, &mut out);
+                self.apply_config(host, out);
+            }
+            HostEvent::Attempt { attempt, event } => {
+                let attempt = self.mutate_attempt(host, attempt);
+                let mut event = event;
+                if self.is_mutated(Mutation::BrokenIsNotRun) {
+                    if let buckthornfall_core::dispatch::AttemptEvent::Broken { reason } = event {
+                        event = buckthornfall_core::dispatch::AttemptEvent::NotRun { unreachable: false, reason };
+                    }
+                }
+                if self.is_mutated(Mutation::OrderedVersions) {
+                    let wanted = self.hosts[host].rollout.wanted().max(1);
+                    if let buckthornfall_core::dispatch::AttemptEvent::Tokens { version, .. } = &mut event {
+                        *version = wanted;
+                    }
+                }
+                let now = self.now;
+                let mut out = Vec::new();
+                self.hosts[host].dispatcher.on_attempt(now, &attempt, event, &mut out);
+                self.apply_dispatch(host, out);
+            }
+            HostEvent::Report { server, state, for_rollout } => self.on_report(host, &server, state, for_rollout),
+            HostEvent::Isolated { attempt, free } => {
+                let now = self.now;
+                let mut out = Vec::new();
+                self.hosts[host].dispatcher.on_isolated(now, &attempt, free, &mut out);
+                self.apply_dispatch(host, out);
+            }
+            HostEvent::Caller { caller, try_number, ask } => self.on_caller(host, caller, try_number, ask),
+            HostEvent::Trainer { id, ask } => self.on_trainer(host, id, ask),
+            HostEvent::Commit { manifest, base, operator } => self.on_commit(host, &manifest, base, operator),
+        }
+    }
+
+    /// With the mutation, an event of an unknown attempt goes to the newest known one.
+    fn mutate_attempt(&self, host: usize, attempt: String) -> String {
+        if !self.is_mutated(Mutation::NoAttemptIds) {
+            return attempt;
+        }
+        let life = self.hosts[host].life;
+        let mut own: Vec<_> =
+            self.attempts.iter().filter(|(_, (h, l, _))| (*h, *l) == (host, life)).collect();
+        own.sort_by_key(|(_, (_, _, work))| *work);
+        own.iter().map(|(attempt, _)| (*attempt).clone()).next().unwrap_or(attempt)
+    }
+
+    fn tick(&mut self, host: usize) {
+        let now = self.now;
+        let mut out = Vec::new();
+        self.hosts[host].config.tick(now, &mut out);
+        self.apply_config(host, out);
+        self.gossip(host);
+        self.tick_list(host);
+        self.tick_leases(host);
+        self.tick_steps(host);
+        self.tick_rollout(host);
+        self.tick_writes(host);
+        self.tick_requests(host);
+        self.tick_polls(host);
+        self.tick_drain(host);
+    }
+
+    fn tick_drain(&mut self, host: usize) {
+        let state = &self.hosts[host];
+        let in_flight = state.requests.len() + state.claims.len();
+        if state.drain.stage(self.now, in_flight) == DrainStage::Done {
+            self.check_stop(host);
+            self.kill(host);
+        }
+    }
+
+    fn tick_list(&mut self, host: usize) {
+        if self.now < self.hosts[host].next_list {
+            return;
+        }
+        self.hosts[host].next_list = self.now + LIST_POLL;
+        let list = self.host_list();
+        let now = self.now;
+        let state = &mut self.hosts[host];
+        state.membership.on_host_list(now, list);
+        let leaving = state.membership.leaving_servers();
+        state.dispatcher.set_leaving(&leaving);
+    }
+
+    fn tick_polls(&mut self, host: usize) {
+        if self.now < self.hosts[host].next_poll {
+            return;
+        }
+        self.hosts[host].next_poll = self.now + POLL;
+        let servers: Vec<_> =
+            self.hosts[host].dispatcher.fleet().iter().map(|s| s.info.name.clone()).collect();
+        for server in servers {
+            self.poll(host, server, false);
+        }
+        if self.hosts[host].rollout_lease.fence(self.now).is_some() {
+            let servers: Vec<_> = self.hosts[host].rollout.servers().map(|s| s.name.clone()).collect();
+            for server in servers {
+                self.poll(host, server, true);
+            }
+        }
+    }
+
+    fn poll(&mut self, host: usize, server: String, for_rollout: bool) {
+        let life = self.hosts[host].life;
+        let state = self.report_of(host, &server);
+        let from = self.party(&server);
+        let event = HostEvent::Report { server, state, for_rollout };
+        if !self.to_host(Some(Step::Report), from, host, life, event.clone()) {
+            if let HostEvent::Report { server, .. } = event {
+                let event = HostEvent::Report { server, state: None, for_rollout };
+                let at = self.now + Duration::from_millis(1500);
+                self.at(at, Event::Host { host, life, event });
+            }
+        }
+    }
+
+    fn party(&self, server: &str) -> Party {
+        let engine = self.engines.iter().position(|engine| engine.name == server);
+        engine.map_or(Party::Service, Party::Engine)
+    }
+
+    fn on_report(
+        &mut self,
+        host: usize,
+        server: &str,
+        state: Option<buckthornfall_proto::messages::EngineState>,
+        for_rollout: bool,
+    ) {
+        let now = self.now;
+        if for_rollout {
+            if let Some(state) = state {
+                self.hosts[host].rollout.on_report(now, server, state);
+            }
+            return;
+        }
+        let mut out = Vec::new();
+        let dispatcher = &mut self.hosts[host].dispatcher;
+        match state {
+            Some(state) => dispatcher.on_report(now, server, state, &mut out),
+            None => dispatcher.on_unreachable(now, server, &mut out),
+        }
+        self.apply_dispatch(host, out);
+    }
+
+    // Gossip and configuration.
+
+    fn message(&mut self, host: usize) -> Gossip {
+        let now = self.now;
+        let state = &mut self.hosts[host];
+        let listed = state.membership.listed_leaving().iter().cloned();
+        let mut leaving: Vec<_> = state.dispatcher.fleet().leaving().into_iter().chain(listed).collect();
+        leaving.sort_unstable();
+        Gossip {
+            from: name(host),
+            revision: state.config.revision(),
+            members: state.membership.entries(),
+            leaving_servers: leaving,
+            quarantined: state.dispatcher.quarantine().quarantined().collect(),
+            suspects: state.dispatcher.quarantine().spreading(now),
+            leases: Vec::new(),
+        }
+    }
+
+    fn gossip(&mut self, host: usize) {
+        let now = self.now;
+        for target in self.hosts[host].membership.tick(now) {
+            let Some(to) = (0..HOSTS).find(|i| name(*i) == target.host) else { continue };
+            let gossip = Box::new(self.message(host));
+            let life = self.hosts[to].life;
+            let event = HostEvent::Gossip { from: host, gossip, is_answer: false };
+            self.to_host(Some(Step::Gossip), Party::Host(host), to, life, event);
+        }
+    }
+
+    fn on_gossip(&mut self, host: usize, from: usize, gossip: Gossip, is_answer: bool) {
+        let now = self.now;
+        let state = &mut self.hosts[host];
+        state.membership.on_entries(now, &gossip.members);
+        if !self.mutation.is_some_and(|m| m == Mutation::NoLeavingSignals) {
+            state.membership.on_leaving_servers(now, &gossip.leaving_servers);
+        }
+        let leaving = state.membership.leaving_servers();
+        state.dispatcher.set_leaving(&leaving);
+        state.dispatcher.on_gossip(now, &gossip.quarantined, &gossip.suspects);
+        let mut out = Vec::new();
+        state.config.on_peer_revision(now, &gossip.from, gossip.revision, &mut out);
+        self.apply_config(host, out);
+        if !is_answer {
+            let answer = Box::new(self.message(host));
+            let life = self.hosts[from].life;
+            let event = HostEvent::Gossip { from: host, gossip: answer, is_answer: true };
+            self.to_host(None, Party::Host(host), from, life, event);
+        }
+    }
+
+    fn on_pull(&mut self, host: usize, from: usize, above: u64) {
+        if let Some(push) = self.hosts[host].config.push_above(&name(host), above) {
+            let life = self.hosts[from].life;
+            self.to_host(None, Party::Host(host), from, life, HostEvent::Push(Box::new(push)));
+        }
+    }
+
+    fn apply_config(&mut self, host: usize, actions: Vec<ConfigAction>) {
+        for action in actions {
+            match action {
+                ConfigAction::ReadHead { key } => {
+                    let op = StoreOp::Read(key.to_owned());
+                    self.to_store(host, Some(Step::HeadPoll), Context::Head, op);
+                }
+                ConfigAction::GetObject { key, revision } => {
+                    let context = Context::Manifest(revision);
+                    self.to_store(host, Some(Step::ManifestGet), context, StoreOp::Get(key));
+                }
+                ConfigAction::PullFrom { host: target, above } => {
+                    let Some(to) = (0..HOSTS).find(|i| name(*i) == target) else { continue };
+                    let life = self.hosts[to].life;
+                    let event = HostEvent::Pull { from: host, above };
+                    self.to_host(Some(Step::ManifestPull), Party::Host(host), to, life, event);
+                }
+                ConfigAction::InForce(in_force) => {
+                    let manifest = in_force.manifest.clone();
+                    self.in_force(host, in_force.revision, &in_force.hash, &manifest);
+                }
+                ConfigAction::Rejected { revision, reason } => {
+                    self.violate("committed manifests are valid", &format!("{revision}: {reason}"));
+                }
+            }
+        }
+    }
+
+    fn in_force(&mut self, host: usize, revision: u64, hash: &str, manifest: &Manifest) {
+        self.note(|| format!("host {host} has revision {revision}"));
+        if revision < self.hosts[host].revision_seen {
+            self.violate("a configuration never reverts", &format!("host {host}: {revision}"));
+        }
+        self.hosts[host].revision_seen = revision;
+        let known = self.hashes.entry(revision).or_insert_with(|| hash.to_owned()).clone();
+        if known != hash {
+            self.violate("one content for each revision", &format!("revision {revision}"));
+        }
+        let now = self.now;
+        self.hosts[host].configure(now, manifest);
+        let mut daemons: Vec<_> = (0..HOSTS).map(name).collect();
+        daemons.sort_unstable();
+        let mut out = Vec::new();
+        self.hosts[host].dispatcher.configure(now, manifest, &daemons, &mut out);
+        self.apply_dispatch(host, out);
+        if self.is_mutated(Mutation::Reverts) && revision > 1 {
+            // Forgets what is in force, so that a late older manifest is taken.
+            let first = crate::world::manifest(0);
+            let content = text_of(&first);
+            let push = buckthornfall_proto::messages::ManifestPush {
+                from: name(host),
+                revision: 1,
+                hash: sha256_hex(content.as_bytes()),
+                content,
+            };
+            self.hosts[host].config = buckthornfall_core::config::Config::new(now + POLL);
+            let mut out = Vec::new();
+            self.hosts[host].config.on_push(&push, &mut out);
+            self.apply_config(host, out);
+        }
+    }
+
+    // Writes of operators and trainers.
+
+    fn on_commit(&mut self, host: usize, manifest: &Manifest, base: u64, operator: usize) {
+        let content = text_of(manifest);
+        self.operator_hashes.insert(operator, sha256_hex(content.as_bytes()));
+        let attempt = format!("{}/commit/{operator}", self.hosts[host].unique());
+        let mut commit = Commit::new(base, content, attempt, self.now + WRITE_LIMIT);
+        let mut out = Vec::new();
+        commit.begin(&mut out);
+        let id = operator as u64;
+        self.hosts[host].commits.insert(id, commit);
+        self.apply_commit(host, id, out);
+    }
+
+    fn apply_commit(&mut self, host: usize, id: u64, actions: Vec<CommitAction>) {
+        for action in actions {
+            let (step, op) = match action {
+                CommitAction::PutObject { key, content } => (Step::CommitPut, StoreOp::Put(key, content)),
+                CommitAction::Read { key } => (Step::CommitHead, StoreOp::Read(key)),
+                CommitAction::Txn(txn) => (Step::CommitTxn, StoreOp::Txn(txn)),
+                CommitAction::Done(result) => {
+                    self.hosts[host].commits.remove(&id);
+                    let hash = self.operator_hashes[&(id as usize)].clone();
+                    self.note(|| format!("commit {id}: {result:?}"));
+                    match result {
+                        Ok(row) => self.committed.push((row.revision, row.hash)),
+                        Err(refusal) if refusal.work_outcome() == Outcome::NotRun => {
+                            self.not_committed.push(hash);
+                        }
+                        Err(_) => {}
+                    }
+                    continue;
+                }
+            };
+            self.to_store(host, Some(step), Context::Commit(id), op);
+        }
+    }
+
+    fn apply_publish(&mut self, host: usize, id: u64, actions: Vec<PublishAction>) {
+        for action in actions {
+            let (step, op) = match action {
+                PublishAction::Read { key } => (None, StoreOp::Read(key)),
+                PublishAction::Txn(txn) => (Some(Step::PublishTxn), StoreOp::Txn(txn)),
+                PublishAction::Done(result) => {
+                    let Some((_, asked)) = self.hosts[host].publications.remove(&id) else { continue };
+                    let answer = match result {
+                        Ok(_) => TrainerAnswer::Published,
+                        Err(refusal) => TrainerAnswer::Refused(refusal),
+                    };
+                    self.at(self.now, Event::TrainerGet { id: asked, answer });
+                    continue;
+                }
+            };
+            self.to_store(host, step, Context::Publish(id), op);
+        }
+    }
+
+    fn tick_writes(&mut self, host: usize) {
+        let now = self.now;
+        let ids: Vec<_> = self.hosts[host].commits.keys().copied().collect();
+        for id in ids {
+            let mut out = Vec::new();
+            self.hosts[host].commits.get_mut(&id).expect("known").tick(now, &mut out);
+            self.apply_commit(host, id, out);
+        }
+        let ids: Vec<_> = self.hosts[host].publications.keys().copied().collect();
+        for id in ids {
+            let mut out = Vec::new();
+            self.hosts[host].publications.get_mut(&id).expect("known").0.tick(now, &mut out);
+            self.apply_publish(host, id, out);
+        }
+    }
+
+    // Leases, steps and rollouts.
+
+    fn tick_leases(&mut self, host: usize) {
+        let now = self.now;
+        let wanted = self.hosts[host].config.in_force().is_some() && !self.hosts[host].drain.is_leaving();
+        let mut out = Vec::new();
+        self.hosts[host].steps_lease.tick(now, wanted, &mut out);
+        self.apply_lease(host, true, out);
+        let mut out = Vec::new();
+        self.hosts[host].rollout_lease.tick(now, wanted, &mut out);
+        self.apply_lease(host, false, out);
+        self.follow_lease(host);
+    }
+
+    pub fn release_leases(&mut self, host: usize) {
+        let now = self.now;
+        let mut out = Vec::new();
+        self.hosts[host].steps_lease.release(now, &mut out);
+        self.apply_lease(host, true, out);
+        let mut out = Vec::new();
+        self.hosts[host].rollout_lease.release(now, &mut out);
+        self.apply_lease(host, false, out);
+        self.stand_down(host);
+    }
+
+    fn apply_lease(&mut self, host: usize, steps: bool, actions: Vec<LeaseAction>) {
+        for action in actions {
+            let key = if steps { self.hosts[host].steps_lease.key() } else { self.hosts[host].rollout_lease.key() };
+            let (step, attempt, op) = match action {
+                LeaseAction::Read => (Step::LeaseRead, String::new(), StoreOp::Read(key.to_owned())),
+                LeaseAction::Txn { attempt, txn } => (Step::LeaseTxn, attempt, StoreOp::Txn(txn)),
+            };
+            let context =
+                if steps { Context::StepsLease(attempt) } else { Context::RolloutLease(attempt) };
+            self.to_store(host, Some(step), context, op);
+        }
+    }
+
+    fn follow_lease(&mut self, host: usize) {
+        let now = self.now;
+        let state = &mut self.hosts[host];
+        let own = state.unique();
+        let other = state.steps_lease.last_holder().is_some_and(|(holder, _)| holder != own);
+        if other && state.coordinating.is_some() {
+            self.stand_down(host);
+        }
+        let state = &mut self.hosts[host];
+        let Some(fence) = state.steps_lease.fence(now) else { return };
+        if state.coordinating != Some(fence) && state.coordinator.is_some() {
+            state.coordinating = Some(fence);
+            let mut out = Vec::new();
+            state.coordinator.as_mut().expect("checked").recover(&mut out);
+            self.note(|| format!("host {host} coordinates with fence {fence}"));
+            self.apply_steps(host, out);
+        }
+    }
+
+    fn stand_down(&mut self, host: usize) {
+        self.hosts[host].coordinating = None;
+        let mut out = Vec::new();
+        if let Some(coordinator) = &mut self.hosts[host].coordinator {
+            coordinator.stand_down(&mut out);
+        }
+        self.apply_steps(host, out);
+    }
+
+    fn tick_steps(&mut self, host: usize) {
+        let now = self.now;
+        let state = &mut self.hosts[host];
+        if state.coordinating.is_none() {
+            return;
+        }
+        let mut out = Vec::new();
+        if let Some(coordinator) = &mut state.coordinator {
+            coordinator.tick(now, 4, &mut out);
+        }
+        self.apply_steps(host, out);
+    }
+
+    fn tick_rollout(&mut self, host: usize) {
+        let now = self.now;
+        let state = &mut self.hosts[host];
+        let fence = state.rollout_lease.fence(now);
+        let may_order = state.rollout_lease.time_left(now) > ORDER_TIMEOUT;
+        let fence = if self.mutation == Some(Mutation::NoLease) {
+            Some(state.index as u64 + 1)
+        } else {
+            fence.filter(|_| may_order)
+        };
+        if fence.is_some() && now >= state.next_weights {
+            state.next_weights = now + POLL;
+            let op = StoreOp::Read(weights_key("model"));
+            self.to_store(host, Some(Step::WeightsRead), Context::Weights, op);
+        }
+        let mut out = Vec::new();
+        self.hosts[host].rollout.tick(now, fence, &mut out);
+        for action in out {
+            let RolloutAction::Order { server, order, .. } = action else { continue };
+            let Party::Engine(engine) = self.party(&server) else { continue };
+            let step = match order.action {
+                OrderAction::Stage => Step::StageOrder,
+                OrderAction::Activate => Step::ActivateOrder,
+            };
+            let event = Event::OrderArrive { engine, order };
+            self.send(Some(step), Party::Host(host), Party::Engine(engine), event);
+        }
+    }
+
+    fn apply_steps(&mut self, host: usize, actions: Vec<StepAction>) {
+        for action in actions {
+            match action {
+                StepAction::Submit(work) => self.submit(host, work),
+                StepAction::Cancel(work) => {
+                    let now = self.now;
+                    let mut out = Vec::new();
+                    self.hosts[host].dispatcher.cancel(now, work, &mut out);
+                    self.apply_dispatch(host, out);
+                }
+                StepAction::PutObject { object, key, content } => {
+                    let context = Context::StepPut(object, key.clone());
+                    self.to_store(host, Some(Step::GroupPut), context, StoreOp::Put(key, content));
+                }
+                StepAction::GetObject { object, key } => {
+                    self.to_store(host, None, Context::StepGet(object), StoreOp::Get(key));
+                }
+                StepAction::GroupTxn { step, group, txn } => {
+                    let context = Context::Group(step, group);
+                    self.to_store(host, Some(Step::GroupTxn), context, StoreOp::Txn(txn));
+                }
+                StepAction::GroupRead { step, group, key } => {
+                    self.to_store(host, None, Context::Group(step, group), StoreOp::Read(key));
+                }
+                StepAction::Write(txn) => {
+                    self.to_store(host, None, Context::Forget, StoreOp::Txn(txn));
+                }
+                StepAction::ScanSteps { prefix } => {
+                    self.to_store(host, None, Context::Steps, StoreOp::Scan(prefix));
+                }
+                StepAction::ScanGroups { step, prefix } => {
+                    self.to_store(host, None, Context::Groups(step), StoreOp::Scan(prefix));
+                }
+            }
+        }
+    }
+
+    fn submit(&mut self, host: usize, work: Work) {
+        let now = self.now;
+        let id = work.id;
+        let progress = work.resume.clone();
+        let mut out = Vec::new();
+        if let Err(refusal) = self.hosts[host].dispatcher.submit(now, work, &mut out) {
+            out.push(DispatchAction::Emit { work: id, event: WorkEvent::Failed { refusal, progress } });
+        }
+        self.apply_dispatch(host, out);
+    }
+
+    // Work on servers.
+
+    fn apply_dispatch(&mut self, host: usize, actions: Vec<DispatchAction>) {
+        for action in actions {
+            self.act(host, action);
+        }
+    }
+
+    fn act(&mut self, host: usize, action: DispatchAction) {
+        let life = self.hosts[host].life;
+        match action {
+            DispatchAction::Start { attempt, work, server, task, class, resume_tokens, .. } => {
+                self.check_start(host, &server);
+                self.attempts.insert(attempt.clone(), (host, life, work));
+                let is_score = matches!(&task, Task::Call { operation, .. } if operation == "score");
+                let step = match &task {
+                    Task::Generate { .. } => Step::GenerateStart,
+                    Task::Call { .. } if is_score => Step::ScoreStart,
+                    Task::Call { .. } => Step::CallStart,
+                };
+                let to = self.party(&server);
+                let resume = resume_tokens;
+                self.note(|| format!("host {host} starts {attempt} on {server}"));
+                let event = Event::AttemptArrive { host, life, attempt: attempt.clone(), server, task, resume, class };
+                if !self.send(Some(step), Party::Host(host), to, event) {
+                    let event = buckthornfall_core::dispatch::AttemptEvent::Broken { reason: "no answer in time".to_owned() };
+                    let at = self.now + Duration::from_millis(1500);
+                    self.at(at, Event::Host { host, life, event: HostEvent::Attempt { attempt, event } });
+                }
+            }
+            DispatchAction::Cancel { attempt } => {
+                for engine in &mut self.engines {
+                    engine.runs.remove(&attempt);
+                }
+            }
+            DispatchAction::Emit { work, event } => self.emit(host, work, event),
+            DispatchAction::Probe { server } => self.poll(host, server, false),
+            DispatchAction::Isolate { server, attempt, .. } => self.isolate(host, &server, attempt, false),
+            DispatchAction::Unisolate { server, attempt, .. } => self.isolate(host, &server, attempt, true),
+            DispatchAction::Quarantine(QuarantineAction::Read { fingerprint }) => {
+                let op = StoreOp::Read(quarantine::key(fingerprint));
+                self.to_store(host, None, Context::Quarantine(fingerprint), op);
+            }
+            DispatchAction::Quarantine(QuarantineAction::Txn { fingerprint, txn }) => {
+                self.to_store(host, None, Context::Quarantine(fingerprint), StoreOp::Txn(txn));
+            }
+            DispatchAction::Quarantine(QuarantineAction::Answer { .. }) => {}
+        }
+    }
+
+    fn isolate(&mut self, host: usize, server: &str, attempt: String, lift: bool) {
+        let life = self.hosts[host].life;
+        let Party::Engine(engine) = self.party(server) else {
+            if !lift {
+                self.to_host(None, Party::Service, host, life, HostEvent::Isolated { attempt, free: true });
+            }
+            return;
+        };
+        let event = Event::IsolateArrive { host, life, engine, attempt: attempt.clone(), lift };
+        if !self.send(None, Party::Host(host), Party::Engine(engine), event) && !lift {
+            let at = self.now + Duration::from_millis(1500);
+            let event = HostEvent::Isolated { attempt, free: false };
+            self.at(at, Event::Host { host, life, event });
+        }
+    }
+
+    fn emit(&mut self, host: usize, work: u64, event: WorkEvent) {
+        if work >> WORK_ID_BITS > 0 {
+            let now = self.now;
+            let mut out = Vec::new();
+            if let Some(coordinator) = &mut self.hosts[host].coordinator {
+                coordinator.on_work(now, work, event, &mut out);
+            }
+            return self.apply_steps(host, out);
+        }
+        match event {
+            WorkEvent::Tokens { .. } => {}
+            WorkEvent::Finished { progress } => {
+                let text = progress.text.freeze();
+                self.answer(host, work, Answer::Text { text, tokens: progress.tokens });
+            }
+            WorkEvent::Answered { status, body } => {
+                let at_most_once = self.hosts[host].requests.get(&work).is_some_and(|r| r.at_most_once);
+                self.answer(host, work, Answer::Body { status, body: body.clone() });
+                if at_most_once {
+                    let now = self.now;
+                    let mut out = Vec::new();
+                    self.hosts[host].claims.on_ran(now, work, status, &body, &mut out);
+                    self.apply_claims(host, out);
+                }
+            }
+            WorkEvent::Failed { refusal, .. } => self.on_work_failed(host, work, &refusal),
+        }
+    }
+
+    fn on_work_failed(&mut self, host: usize, work: u64, refusal: &Refusal) {
+        let at_most_once = self.hosts[host].requests.get(&work).is_some_and(|r| r.at_most_once);
+        self.answer(host, work, Answer::Refused(refusal.clone()));
+        if !at_most_once {
+            return;
+        }
+        let now = self.now;
+        let mut out = Vec::new();
+        match refusal.work_outcome() {
+            Outcome::NotRun => self.hosts[host].claims.on_not_run(now, work, &mut out),
+            Outcome::Ran | Outcome::Unknown => self.hosts[host].claims.on_unknown(work),
+        }
+        self.apply_claims(host, out);
+    }
+
+    // Callers.
+
+    fn on_caller(&mut self, host: usize, caller: usize, try_number: u32, ask: Ask) {
+        self.hosts[host].next_request += 1;
+        let id = self.hosts[host].next_request;
+        let stage = self.hosts[host].drain.stage(self.now, 1);
+        let in_force = self.hosts[host].config.in_force().is_some();
+        let active = ActiveRequest { caller, try_number, at_most_once: false, claimed_work: None };
+        self.hosts[host].requests.insert(id, active);
+        if stage >= DrainStage::Finishing {
+            let refusal = Refusal::new(ErrorKind::Leaving, "this daemon is stopping");
+            return self.answer(host, id, Answer::Refused(refusal));
+        }
+        let now = self.now;
+        if !in_force {
+            let refusal = Refusal::new(ErrorKind::NotReady, "no manifest yet");
+            return self.answer(host, id, Answer::Refused(refusal));
+        }
+        if let Err(refusal) = self.hosts[host].admission.admit(now, "caller") {
+            return self.answer(host, id, Answer::Refused(refusal));
+        }
+        let work = self.caller_work(id, &ask);
+        let Ask::Record { key } = ask else { return self.submit(host, work) };
+        let request = self.hosts[host].requests.get_mut(&id).expect("just inserted");
+        request.at_most_once = true;
+        if self.is_mutated(Mutation::NoClaim) {
+            return self.submit(host, work);
+        }
+        let request = self.hosts[host].requests.get_mut(&id).expect("just inserted");
+        request.claimed_work = Some(work);
+        let claim = ClaimRequest {
+            id,
+            caller: "caller".to_owned(),
+            body_hash: sha256_hex(key.as_bytes()),
+            key,
+            deadline: now + REQUEST_TIMEOUT,
+        };
+        let mut out = Vec::new();
+        self.hosts[host].claims.begin(claim, &mut out);
+        self.apply_claims(host, out);
+    }
+
+    fn caller_work(&self, id: u64, ask: &Ask) -> Work {
+        let (service, task, idempotent, print) = match ask {
+            Ask::Complete { prompt } => {
+                let print = fingerprint(&[prompt.as_bytes()]);
+                let task = Task::Generate {
+                    prompt: Bytes::from(prompt.clone()),
+                    adapter: None,
+                    max_tokens: 32,
+                    min_version: 0,
+                    seed: print,
+                };
+                ("model", task, true, print)
+            }
+            Ask::Look { body } => {
+                let print = fingerprint(&[body.as_bytes()]);
+                ("plain", call("look", "", body), true, print)
+            }
+            Ask::Record { key } => {
+                let print = fingerprint(&[key.as_bytes()]);
+                ("plain", call("record", key, key), false, print)
+            }
+        };
+        Work {
+            id,
+            service: service.to_owned(),
+            class: Class::Interactive,
+            task,
+            idempotent,
+            fingerprint: print,
+            prefix: print,
+            deadline: self.now + REQUEST_TIMEOUT,
+            rank: id,
+            avoid: None,
+            resume: Progress::default(),
+        }
+    }
+
+    fn apply_claims(&mut self, host: usize, actions: Vec<ClaimAction>) {
+        for action in actions {
+            match action {
+                ClaimAction::Read { request, key } => {
+                    self.to_store(host, None, Context::Claim(request), StoreOp::Read(key));
+                }
+                ClaimAction::Txn { request, txn } => {
+                    let step = Some(Step::ClaimTxn);
+                    self.to_store(host, step, Context::Claim(request), StoreOp::Txn(txn));
+                }
+                ClaimAction::Dispatch { request } => {
+                    let active = self.hosts[host].requests.get_mut(&request);
+                    if let Some(work) = active.and_then(|active| active.claimed_work.take()) {
+                        self.submit(host, work);
+                    }
+                }
+                ClaimAction::Replay { request, status, body } => {
+                    self.answer(host, request, Answer::Body { status, body });
+                }
+                ClaimAction::Refuse { request, refusal } => {
+                    self.answer(host, request, Answer::Refused(refusal));
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, host: usize, request: u64, answer: Answer) {
+        let Some(active) = self.hosts[host].requests.remove(&request) else { return };
+        let life = self.hosts[host].life;
+        self.hosts[host].admission.finished("caller");
+        if let Answer::Refused(refusal) = &answer {
+            if refusal.work_outcome() == Outcome::NotRun {
+                self.log.said_not_run.insert((host, life, request));
+                if self.log.ran.contains(&(host, life, request)) {
+                    let detail = format!("host {host} request {request}: {refusal:?}");
+                    self.violate("not run means not run", &detail);
+                }
+            }
+        }
+        let ActiveRequest { caller, try_number, .. } = active;
+        let event = Event::CallerGet { caller, try_number, answer };
+        let lost = !self.send(Some(Step::CallerAnswer), Party::Host(host), Party::Client, event);
+        if lost {
+            let event = Event::CallerGet { caller, try_number, answer: Answer::Broken };
+            let at = self.now + Duration::from_millis(1500);
+            self.at(at, event);
+        }
+    }
+
+    fn tick_requests(&mut self, host: usize) {
+        let now = self.now;
+        let mut out = Vec::new();
+        self.hosts[host].claims.tick(now, &mut out);
+        self.apply_claims(host, out);
+        let mut out = Vec::new();
+        self.hosts[host].dispatcher.tick(now, &mut out);
+        self.apply_dispatch(host, out);
+    }
+
+    // The trainer's requests.
+
+    fn on_trainer(&mut self, host: usize, id: u64, ask: TrainerAsk) {
+        let now = self.now;
+        if let TrainerAsk::Publish(version) = ask {
+            return self.on_publish(host, id, version);
+        }
+        if self.hosts[host].coordinating.is_none() || self.hosts[host].coordinator.is_none() {
+            let refusal = Refusal::new(ErrorKind::NotCoordinator, "another host coordinates");
+            return self.answer_trainer(host, Step::StepAnswer, id, TrainerAnswer::Refused(refusal));
+        }
+        let mut out = Vec::new();
+        let no_freshness = self.is_mutated(Mutation::NoFreshness);
+        let no_cursor = self.is_mutated(Mutation::NoCursor);
+        let coordinator = self.hosts[host].coordinator.as_mut().expect("checked");
+        let (step, answer) = match ask {
+            TrainerAsk::Submit(mut spec) => {
+                if no_freshness {
+                    spec.weights_version = 0;
+                }
+                let answer = coordinator.submit(now, spec, &mut out);
+                (Step::StepAnswer, answer.map(|_| TrainerAnswer::Accepted))
+            }
+            TrainerAsk::Pull(mut cursor) => {
+                coordinator.close_before(now, cursor.step, &mut out);
+                let version = cursor.weights_version;
+                if no_freshness {
+                    cursor.weights_version = 0;
+                }
+                if no_cursor {
+                    cursor.taken.clear();
+                }
+                let request = buckthornfall_proto::messages::PullRequest { cursor, max_groups: 1 };
+                let answer = coordinator.pull(now, &request, &mut out).map(|mut answer| {
+                    answer.cursor.weights_version = version;
+                    TrainerAnswer::Groups(answer)
+                });
+                (Step::PullAnswer, answer)
+            }
+            TrainerAsk::Publish(_) => return,
+        };
+        self.apply_steps(host, out);
+        let answer = answer.unwrap_or_else(TrainerAnswer::Refused);
+        self.answer_trainer(host, step, id, answer);
+    }
+
+    fn on_publish(&mut self, host: usize, asked: u64, version: u64) {
+        self.hosts[host].next_request += 1;
+        let id = self.hosts[host].next_request;
+        let attempt = format!("{}/publish/{id}", self.hosts[host].unique());
+        let row = WeightsRow { version, object: format!("v{version}"), bytes: 1, attempt };
+        let publish = Publish::new("model", row, self.now + WRITE_LIMIT);
+        let mut out = Vec::new();
+        publish.begin(&mut out);
+        self.hosts[host].publications.insert(id, (publish, asked));
+        self.apply_publish(host, id, out);
+    }
+
+    fn answer_trainer(&mut self, host: usize, step: Step, id: u64, answer: TrainerAnswer) {
+        self.send(Some(step), Party::Host(host), Party::Client, Event::TrainerGet { id, answer });
+    }
+
+    // Replies of the store.
+
+    fn on_store_reply(&mut self, host: usize, context: Context, reply: StoreReply) {
+        let now = self.now;
+        match (context, reply) {
+            (Context::Head, StoreReply::Read(reply)) => {
+                let mut out = Vec::new();
+                self.hosts[host].config.on_head(&reply, &mut out);
+                self.apply_config(host, out);
+            }
+            (Context::Manifest(revision), StoreReply::Get(Some(content))) => {
+                let mut out = Vec::new();
+                self.hosts[host].config.on_object(revision, &content, &mut out);
+                self.apply_config(host, out);
+            }
+            (Context::Commit(id), reply) => {
+                let Some(commit) = self.hosts[host].commits.get_mut(&id) else { return };
+                let mut out = Vec::new();
+                match reply {
+                    StoreReply::Put(reply) => commit.on_put(now, reply, &mut out),
+                    StoreReply::Read(reply) => commit.on_read(now, &reply, &mut out),
+                    StoreReply::Txn(reply) => commit.on_txn(now, &reply, &mut out),
+                    _ => {}
+                }
+                self.apply_commit(host, id, out);
+            }
+            (Context::Publish(id), reply) => {
+                let Some((publish, _)) = self.hosts[host].publications.get_mut(&id) else { return };
+                let mut out = Vec::new();
+                match reply {
+                    StoreReply::Read(reply) => publish.on_read(now, &reply, &mut out),
+                    StoreReply::Txn(reply) => publish.on_txn(now, &reply, &mut out),
+                    _ => {}
+                }
+                self.apply_publish(host, id, out);
+            }
+            (Context::StepsLease(attempt), reply) => self.on_lease_reply(host, true, &attempt, &reply),
+            (Context::RolloutLease(attempt), reply) => self.on_lease_reply(host, false, &attempt, &reply),
+            (Context::Claim(id), reply) => {
+                let mut out = Vec::new();
+                match reply {
+                    StoreReply::Read(reply) => self.hosts[host].claims.on_read(now, id, &reply, &mut out),
+                    StoreReply::Txn(reply) => self.hosts[host].claims.on_txn(now, id, &reply, &mut out),
+                    _ => {}
+                }
+                self.apply_claims(host, out);
+            }
+            (Context::Quarantine(print), reply) => {
+                let mut out = Vec::new();
+                let dispatcher = &mut self.hosts[host].dispatcher;
+                match reply {
+                    StoreReply::Read(reply) => dispatcher.on_quarantine_read(now, print, &reply, &mut out),
+                    StoreReply::Txn(reply) => dispatcher.on_quarantine_txn(now, print, &reply, &mut out),
+                    _ => {}
+                }
+                self.apply_dispatch(host, out);
+            }
+            (Context::Weights, StoreReply::Read(Ok(row))) => {
+                if let Some(weights) = table::value::<WeightsRow>(&row) {
+                    self.hosts[host].rollout.on_published(now, weights.version);
+                }
+            }
+            (context, reply) => self.on_step_reply(host, context, reply),
+        }
+    }
+
+    fn on_lease_reply(&mut self, host: usize, steps: bool, attempt: &str, reply: &StoreReply) {
+        let now = self.now;
+        let state = &mut self.hosts[host];
+        let lease = if steps { &mut state.steps_lease } else { &mut state.rollout_lease };
+        let mut out = Vec::new();
+        match reply {
+            StoreReply::Read(reply) => lease.on_read(now, reply, &mut out),
+            StoreReply::Txn(reply) => lease.on_txn(now, attempt, reply, &mut out),
+            _ => {}
+        }
+        self.apply_lease(host, steps, out);
+        self.follow_lease(host);
+    }
+
+    fn on_step_reply(&mut self, host: usize, context: Context, reply: StoreReply) {
+        let now = self.now;
+        let Some(coordinator) = &mut self.hosts[host].coordinator else { return };
+        let mut out = Vec::new();
+        match (context, reply) {
+            (Context::StepPut(object, key), StoreReply::Put(reply)) => {
+                coordinator.on_put(&object, &key, reply, &mut out);
+            }
+            (Context::StepGet(object), StoreReply::Get(content)) => {
+                coordinator.on_object(now, &object, content.as_deref(), &mut out);
+            }
+            (Context::Steps, StoreReply::Scan(reply)) => coordinator.on_steps(&reply, &mut out),
+            (Context::Groups(step), StoreReply::Scan(reply)) => coordinator.on_groups(step, &reply, &mut out),
+            (Context::Group(step, group), StoreReply::Txn(reply)) => {
+                coordinator.on_group_txn(step, group, &reply, &mut out);
+            }
+            (Context::Group(step, group), StoreReply::Read(reply)) => {
+                coordinator.on_group_read(step, group, &reply, &mut out);
+            }
+            _ => {}
+        }
+        self.apply_steps(host, out);
+    }
+}
+
+fn call(operation: &str, key: &str, body: &str) -> Task {
+    Task::Call {
+        operation: operation.to_owned(),
+        key: key.to_owned(),
+        body: Bytes::from(body.to_owned()),
+    }
+}
