Matrix: a paused host gets its events in the order in which they came

Cause: with two pauses the test world handed a stream's end to the host before its tokens, which TCP never does (1 of 6,000 mixed pairs, trace: GenerateEnd overtakes GenerateTokens at a second pause). The check stays; the world now keeps the order.

--- a/crates/core/tests/matrix/host.rs
+++ b/crates/core/tests/matrix/host.rs
@@ -26,7 +26,7 @@
 };
 use std::time::Duration;
 
-use crate::clients::TRAINER;
+use crate::{clients::TRAINER, world::HostEvent};
 
 /// A caller's request at a host.
 #[derive(Debug)]
@@ -42,6 +42,8 @@
     pub life: u64,
     pub alive: bool,
     pub paused_until: Now,
+    /// Events that came while the host was paused.
+    pub parked: Vec<HostEvent>,
     pub config: Config,
     pub commits: BTreeMap<u64, Commit>,
     pub publications: BTreeMap<u64, (Publish, u64)>,
@@ -103,6 +105,7 @@
             life,
             alive: true,
             paused_until: Now::ZERO,
+            parked: Vec::new(),
             config: Config::new(Duration::from_millis(index as u64 * 300)),
             commits: BTreeMap::new(),
             publications: BTreeMap::new(),
--- a/crates/core/tests/matrix/world.rs
+++ b/crates/core/tests/matrix/world.rs
@@ -131,6 +131,7 @@
     SwapDone { engine: usize, incarnation: u64, version: u64, fails: bool },
     Restart { host: usize },
     Stop { host: usize },
+    Resume { host: usize },
     CallerSend { caller: usize },
     CallerGet { caller: usize, try_number: u32, answer: Answer },
     TrainerAct,
@@ -431,7 +432,11 @@
             Fault::StoreDown => self.store_down_until = self.now + OUTAGE,
             Fault::StoreSlow => self.store_slow_until = self.now + OUTAGE,
             Fault::ReplyLost => self.replies_to_lose += 1,
-            Fault::HolderPaused => self.hosts[host].paused_until = self.now + PAUSE,
+            Fault::HolderPaused => {
+                let until = self.now + PAUSE;
+                self.hosts[host].paused_until = until;
+                self.at(until, Event::Resume { host });
+            }
             Fault::OperatorsRacing => {
                 let operator = self.next_operator;
                 self.next_operator += 1;
@@ -620,6 +625,7 @@
             }
             Event::Restart { host } => self.restart(host),
             Event::Stop { host } => self.stop(host),
+            Event::Resume { host } => self.resume(host),
             Event::CallerSend { caller } => self.caller_send(caller),
             Event::CallerGet { caller, try_number, answer } => self.caller_get(caller, try_number, answer),
             Event::TrainerAct => self.trainer_act(),
@@ -638,8 +644,7 @@
             return;
         }
         if self.now < state.paused_until {
-            let at = state.paused_until;
-            return self.at(at, Event::Host { host, life, event });
+            return self.hosts[host].parked.push(event);
         }
         if matches!(event, HostEvent::Tick) {
             self.at(self.now + TICK, Event::Host { host, life, event: HostEvent::Tick });
@@ -647,6 +652,17 @@
         self.host_event(host, event);
     }
 
+    /// Gives a host what came while it was paused, in the order in which it came.
+    fn resume(&mut self, host: usize) {
+        if self.now < self.hosts[host].paused_until {
+            return;
+        }
+        let life = self.hosts[host].life;
+        for event in std::mem::take(&mut self.hosts[host].parked) {
+            self.at(self.now, Event::Host { host, life, event });
+        }
+    }
+
     fn restart(&mut self, host: usize) {
         let life = self.hosts[host].life + 1;
         self.lives += 1;
