--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -193,7 +193,7 @@
     deployment: &Deployment,
     options: &DemoOptions,
 ) -> Vec<thread::JoinHandle<TrainerReport>> {
-    let start = |(i, trainer): (usize, &buckthornfall_proto::manifest::Trainer)| {
+    let start = |trainer: &buckthornfall_proto::manifest::Trainer| {
         let trainer = Trainer::new(TrainerOptions {
             name: trainer.name.clone(),
             model: trainer.model.clone(),
@@ -204,7 +204,6 @@
             samples: SAMPLES,
             max_tokens: SAMPLE_TOKENS,
             version: 1,
-            publishes: i == 0,
             compute: Duration::from_millis(300),
             staleness_bound: trainer.staleness_bound,
             limit: TRAINER_LIMIT,
@@ -212,7 +211,7 @@
         });
         thread::spawn(move || trainer.run())
     };
-    deployment.manifest.trainers.iter().enumerate().map(start).collect()
+    deployment.manifest.trainers.iter().map(start).collect()
 }
 
 fn start_callers(
--- a/crates/cli/src/demo/deployment.rs
+++ b/crates/cli/src/demo/deployment.rs
@@ -109,6 +109,7 @@
                 let engine = Engine::new(
                     EngineOptions {
                         model: model.name.clone(),
+                        adapters: model.adapters.clone(),
                         region: self.region_of(&server.zone),
                         zone: server.zone.clone(),
                         slots: server.slots,
--- a/crates/cli/src/demo/report.rs
+++ b/crates/cli/src/demo/report.rs
@@ -45,7 +45,8 @@
     not_run_but_ran: u64,
     answered_but_not_run: u64,
     daemons_not_stopped: u32,
-    weights_active: Vec<u64>,
+    /// Active versions over all engines, by adapter.
+    weights_active: BTreeMap<String, Vec<u64>>,
     engine_crashes: u32,
     link_bytes_weights: u64,
     table_reads: u64,
@@ -93,7 +94,7 @@
             not_run_but_ran: count(Said::NotRun, true),
             answered_but_not_run: count(Said::Answered, false),
             daemons_not_stopped,
-            weights_active: deployment.engines.iter().map(|engine| engine.active()).collect(),
+            weights_active: active_versions(deployment),
             engine_crashes: deployment.engines.iter().map(|engine| engine.crashes()).sum(),
             link_bytes_weights: deployment.weights.link_bytes(),
             table_reads: operations.reads,
@@ -173,8 +174,8 @@
         );
         let _ = writeln!(
             text,
-            "  weights   active versions {:?}, {} bytes over the region link, {} engine crashes",
-            self.weights_active, self.link_bytes_weights, self.engine_crashes
+            "  weights   {} bytes over the region link, {} engine crashes; active versions {:?}",
+            self.link_bytes_weights, self.engine_crashes, self.weights_active
         );
         let _ = writeln!(
             text,
@@ -212,6 +213,12 @@
     }
 }
 
+fn active_versions(deployment: &Deployment) -> BTreeMap<String, Vec<u64>> {
+    let adapters = deployment.manifest.trainers.iter().filter_map(|t| t.adapter.clone());
+    let versions = |adapter: &str| deployment.engines.iter().map(|e| e.active(adapter)).collect();
+    adapters.map(|adapter| (adapter.clone(), versions(&adapter))).collect()
+}
+
 /// Longest time that a histogram holds, in microseconds.
 const LONGEST_MICROS: u64 = 3_600_000_000;
 
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -78,15 +78,7 @@
     pub fn new(base: Revision, content: String, attempt: AttemptId, deadline: Now) -> Commit {
         let hash = sha256_hex(content.as_bytes());
         let row = ManifestRow { revision: base + 1, hash, attempt };
-        Commit {
-            base,
-            content,
-            row,
-            deadline,
-            stage: Stage::Putting,
-            retry_at: None,
-            in_doubt: 0,
-        }
+        Commit { base, content, row, deadline, stage: Stage::Putting, retry_at: None, in_doubt: 0 }
     }
 
     /// Starts the commit.
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -343,9 +343,9 @@
         let state = self.works.get(&id)?;
         let servers = self.fleet.service(&state.work.service)?;
         let can_run = |server: &&ServerState| {
-            server.is_usable(now)
+            server.can_run(now, state.work.adapter())
                 && server.isolated_for.is_none()
-                && server.version() >= state.work.min_version()
+                && server.version(state.work.adapter()) >= state.work.min_version()
                 && has_room(server, state.work.class)
                 && (remote || server.distance != Distance::Remote)
                 && state.work.avoid.as_ref() != Some(&server.info.name)
--- a/crates/core/src/dispatch/recovery.rs
+++ b/crates/core/src/dispatch/recovery.rs
@@ -265,8 +265,8 @@
         }
         let best = servers
             .iter()
-            .filter(|s| s.is_usable(now) && s.isolated_for.is_none())
-            .filter(|s| s.version() >= state.work.min_version())
+            .filter(|s| s.can_run(now, state.work.adapter()) && s.isolated_for.is_none())
+            .filter(|s| s.version(state.work.adapter()) >= state.work.min_version())
             .min_by(|a, b| a.load_ratio().total_cmp(&b.load_ratio()));
         let Some(best) = best else { return };
         let server = best.info.name.clone();
--- a/crates/core/src/dispatch/work.rs
+++ b/crates/core/src/dispatch/work.rs
@@ -94,6 +94,14 @@
         }
     }
 
+    /// Adapter of the model; empty for the model itself.
+    pub fn adapter(&self) -> &str {
+        match &self.task {
+            Task::Generate { adapter, .. } => adapter.as_deref().unwrap_or_default(),
+            Task::Call { .. } => "",
+        }
+    }
+
     /// Size of what is sent to the server, in bytes.
     pub fn bytes(&self) -> usize {
         match &self.task {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -76,15 +76,22 @@
 const BACKOFF_DOUBLINGS: u32 = 5;
 
 impl ServerState {
-    /// Weight version that the server reported; 0 for services without weights.
-    pub fn version(&self) -> WeightVersion {
-        self.report.as_ref().map_or(0, |report| report.state.active)
+    /// Weight version of a track that the server reported; 0 for services without weights.
+    pub fn version(&self, adapter: &str) -> WeightVersion {
+        let track = self.report.as_ref().and_then(|report| report.state.track(adapter));
+        track.map_or(0, |track| track.active)
     }
 
-    /// Whether the server may be given new work.
+    /// Whether the server may be given new work for a track.
+    pub fn can_run(&self, now: Now, adapter: &str) -> bool {
+        let swapping = self.report.as_ref().is_some_and(|report| report.state.is_swapping(adapter));
+        self.is_usable(now) && !swapping
+    }
+
+    /// Whether the server may be given new work, as far as its weights allow it.
     pub fn is_usable(&self, now: Now) -> bool {
         let Some(report) = &self.report else { return false };
-        let ready = !report.state.draining && !report.state.swapping;
+        let ready = !report.state.draining;
         let fresh = now.saturating_sub(report.at) <= REPORT_VALID;
         ready && fresh && !self.leaving && now >= self.down_until
     }
@@ -117,7 +124,7 @@
         match &self.report {
             None => "unknown",
             Some(_) if self.is_leaving() => "leaving",
-            Some(report) if report.state.swapping => "swapping",
+            Some(report) if report.state.tracks.iter().any(|track| track.swapping) => "swapping",
             Some(_) if self.isolated_for.is_some() => "isolated",
             Some(_) if self.is_usable(now) => "ready",
             Some(_) => "down",
--- a/crates/core/src/publish.rs
+++ b/crates/core/src/publish.rs
@@ -1,8 +1,11 @@
-//! Publishes new weights of a model: its row only ever moves to a higher version.
+//! Publishes new weights of a track: its row only ever moves to a higher version.
 
 use std::time::Duration;
 
-use buckthornfall_proto::messages::{Row, Txn, WeightsRow};
+use buckthornfall_proto::{
+    messages::{Row, Txn, WeightsRow},
+    track::Track,
+};
 
 use crate::{
     error::{ErrorKind, Refusal},
@@ -10,9 +13,9 @@
     Now,
 };
 
-/// Key of the row of a model's weights.
-pub fn weights_key(model: &str) -> String {
-    format!("weights/{model}")
+/// Key of the row of a track's weights.
+pub fn weights_key(track: &Track) -> String {
+    format!("weights/{}", track.name())
 }
 
 /// What a publication asks for.
@@ -44,16 +47,9 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
 impl Publish {
-    /// A publication of `row` for `model`.
-    pub fn new(model: &str, row: WeightsRow, deadline: Now) -> Publish {
-        Publish {
-            key: weights_key(model),
-            row,
-            deadline,
-            retry_at: None,
-            in_doubt: 0,
-            done: false,
-        }
+    /// A publication of `row` for `track`.
+    pub fn new(track: &Track, row: WeightsRow, deadline: Now) -> Publish {
+        Publish { key: weights_key(track), row, deadline, retry_at: None, in_doubt: 0, done: false }
     }
 
     /// Starts the publication.
@@ -95,11 +91,8 @@
             return;
         }
         if now >= self.deadline {
-            let kind = if self.in_doubt > 0 {
-                ErrorKind::CommitUnresolved
-            } else {
-                ErrorKind::TableAway
-            };
+            let kind =
+                if self.in_doubt > 0 { ErrorKind::CommitUnresolved } else { ErrorKind::TableAway };
             let message = format!("the table service does not answer for {:?}", self.key);
             self.finish(Err(Refusal::new(kind, message)), out);
         } else if self.retry_at.is_some_and(|at| now >= at) {
--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -1,4 +1,5 @@
-//! Rollout of new weights of one model over its servers: stage, then activate in waves.
+//! Rollout of new weights of one track over the servers of a region: stage, then activate in
+//! waves.
 //!
 //! Orders are absolute ("be at version 41"), carry the fencing number of the lease and are
 //! reconciled against what the servers report.
@@ -6,9 +7,10 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use buckthornfall_proto::{
-    ids::{Fence, ServerId, ServiceName, WeightVersion},
+    ids::{Fence, ServerId, WeightVersion},
     manifest::{Manifest, Server},
-    messages::{EngineOrder, EngineState, OrderAction},
+    messages::{EngineOrder, EngineState, OrderAction, TrackState},
+    track::Track,
 };
 
 use crate::Now;
@@ -25,7 +27,7 @@
         /// The order.
         order: EngineOrder,
     },
-    /// All servers of the model run this version.
+    /// All servers of the track run this version.
     Complete {
         /// The version.
         version: WeightVersion,
@@ -50,7 +52,7 @@
 #[derive(Debug, Clone)]
 struct Target {
     info: Server,
-    report: Option<(Now, EngineState)>,
+    report: Option<(Now, TrackState)>,
     ordered: Option<Ordered>,
 }
 
@@ -62,10 +64,10 @@
     source: String,
 }
 
-/// The rollout of one model in one region by the holder of its lease.
+/// The rollout of one track in one region by the holder of its lease.
 #[derive(Debug)]
 pub struct Rollout {
-    model: ServiceName,
+    track: Track,
     region: String,
     floor_percent: u32,
     targets: BTreeMap<ServerId, Target>,
@@ -79,10 +81,10 @@
 }
 
 impl Rollout {
-    /// The rollout of a model in a region that has no servers yet.
-    pub fn new(model: &str, region: &str) -> Rollout {
+    /// The rollout of a track in a region that has no servers yet.
+    pub fn new(track: Track, region: &str) -> Rollout {
         Rollout {
-            model: model.to_owned(),
+            track,
             region: region.to_owned(),
             floor_percent: 0,
             targets: BTreeMap::new(),
@@ -96,7 +98,7 @@
 
     /// Takes the model's servers from a manifest.
     pub fn configure(&mut self, manifest: &Manifest) {
-        let Some(model) = manifest.models.iter().find(|m| m.name == self.model) else {
+        let Some(model) = manifest.models.iter().find(|m| m.name == self.track.model) else {
             self.targets.clear();
             return;
         };
@@ -112,7 +114,7 @@
         }
     }
 
-    /// Servers of the model with their addresses.
+    /// Servers of the track with their addresses.
     pub fn servers(&self) -> impl Iterator<Item = &Server> {
         self.targets.values().map(|target| &target.info)
     }
@@ -143,8 +145,15 @@
     }
 
     /// Takes a server's report.
-    pub fn on_report(&mut self, now: Now, server: &str, state: EngineState) {
+    pub fn on_report(&mut self, now: Now, server: &str, state: &EngineState) {
         let Some(target) = self.targets.get_mut(server) else { return };
+        let state = state.track(&self.track.adapter).cloned().unwrap_or_else(|| TrackState {
+            adapter: self.track.adapter.clone(),
+            active: 0,
+            staged: 0,
+            swapping: false,
+            fence: 0,
+        });
         let done = target.ordered.as_ref().is_some_and(|ordered| ordered.shows_in(&state));
         if done {
             target.ordered = None;
@@ -279,7 +288,8 @@
             address: target.info.address.clone(),
             order: EngineOrder {
                 fence: self.fence,
-                model: self.model.clone(),
+                model: self.track.model.clone(),
+                adapter: self.track.adapter.clone(),
                 action,
                 version: self.wanted,
                 source,
@@ -299,7 +309,7 @@
 }
 
 impl Target {
-    fn state(&self) -> Option<&EngineState> {
+    fn state(&self) -> Option<&TrackState> {
         self.report.as_ref().map(|(_, state)| state)
     }
 
@@ -322,7 +332,7 @@
 }
 
 impl Ordered {
-    fn shows_in(&self, state: &EngineState) -> bool {
+    fn shows_in(&self, state: &TrackState) -> bool {
         match self.action {
             OrderAction::Stage => state.active >= self.version || state.staged >= self.version,
             OrderAction::Activate => state.active >= self.version && !state.swapping,
--- a/crates/core/tests/fault_matrix.rs
+++ b/crates/core/tests/fault_matrix.rs
@@ -219,7 +219,12 @@
 fn each_mechanism_switched_off_is_seen() {
     let cases = alone();
     let seen: Vec<_> = thread::scope(|scope| {
-        let start = |mutation| scope.spawn({ let cases = &cases; move || seen_with(mutation, cases) });
+        let start = |mutation| {
+            scope.spawn({
+                let cases = &cases;
+                move || seen_with(mutation, cases)
+            })
+        };
         let threads: Vec<_> = Mutation::ALL.map(start).into_iter().collect();
         threads.into_iter().map(|t| t.join().expect("no case panics")).collect()
     });
--- a/crates/core/tests/matrix/checks.rs
+++ b/crates/core/tests/matrix/checks.rs
@@ -28,7 +28,13 @@
         let life = self.hosts[host].life;
         let manifest = Box::new(manifest(operator + 1));
         self.note(|| format!("operator {operator} commits on revision {base}"));
-        self.to_host(None, Party::Client, host, life, HostEvent::Commit { manifest, base, operator });
+        self.send_to_host(
+            None,
+            Party::Client,
+            host,
+            life,
+            HostEvent::Commit { manifest, base, operator },
+        );
     }
 
     // Callers.
@@ -42,7 +48,7 @@
         let ask = self.callers[caller].ask.clone();
         self.note(|| format!("caller {caller} try {try_number} to host {host}: {ask:?}"));
         let event = HostEvent::Caller { caller, try_number, ask };
-        if !self.to_host(Some(Step::CallerSend), Party::Client, host, life, event) {
+        if !self.send_to_host(Some(Step::CallerSend), Party::Client, host, life, event) {
             let event = Event::CallerGet { caller, try_number, answer: Answer::Broken };
             self.at(self.now + Duration::from_millis(1500), event);
         }
@@ -60,8 +66,13 @@
             Answer::Text { text, tokens } => {
                 let own = match &ask {
                     Ask::Complete { prompt } => {
-                        let length = text::length(prompt, buckthornfall_proto::digest::fingerprint(&[prompt.as_bytes()]), 32);
-                        tokens == length && text::is_answer(prompt, &String::from_utf8_lossy(&text), tokens)
+                        let length = text::length(
+                            prompt,
+                            buckthornfall_proto::digest::fingerprint(&[prompt.as_bytes()]),
+                            32,
+                        );
+                        tokens == length
+                            && text::is_answer(prompt, &String::from_utf8_lossy(&text), tokens)
                     }
                     _ => false,
                 };
@@ -85,7 +96,9 @@
                 let again = refusal.answer().retry_after_ms.map(Duration::from_millis);
                 match again {
                     Some(after) if !ran => self.resend(caller, after),
-                    _ if matches!(ask, Ask::Complete { .. }) && !ran => self.resend(caller, CALLER_RETRY),
+                    _ if matches!(ask, Ask::Complete { .. }) && !ran => {
+                        self.resend(caller, CALLER_RETRY)
+                    }
                     _ => self.callers[caller].done = true,
                 }
             }
@@ -122,14 +135,15 @@
         self.trainer.asked += 1;
         let id = self.trainer.asked;
         let step = match &ask {
-            TrainerAsk::Submit(_) => Some(Step::StepSubmit),
+            TrainerAsk::Submit(_) => Some(Step::TrainerSubmit),
             TrainerAsk::Pull(_) => Some(Step::Pull),
             TrainerAsk::Publish(_) => None,
         };
         let lost = Event::TrainerGet { id, answer: TrainerAnswer::NoReply };
-        let limit = if matches!(ask, TrainerAsk::Publish(_)) { CALLER_WAIT } else { TRAINER_TIMEOUT };
+        let limit =
+            if matches!(ask, TrainerAsk::Publish(_)) { CALLER_WAIT } else { TRAINER_TIMEOUT };
         self.at(self.now + limit, lost);
-        self.to_host(step, Party::Client, host, life, HostEvent::Trainer { id, ask });
+        self.send_to_host(step, Party::Client, host, life, HostEvent::Trainer { id, ask });
     }
 
     pub fn trainer_get(&mut self, id: u64, answer: TrainerAnswer) {
@@ -204,12 +218,19 @@
                 self.violate("a sample names all its versions", &format!("{slot:?}: {sample:?}"));
             }
             for span in &sample.spans {
-                let produced = (span.start..span.end).all(|index| self.was_produced(&text_of, index, span.version));
+                let produced = (span.start..span.end)
+                    .all(|index| self.was_produced(&text_of, index, span.version));
                 if !produced {
-                    self.violate("a sample names the versions that made it", &format!("{slot:?}: {span:?}"));
+                    self.violate(
+                        "a sample names the versions that made it",
+                        &format!("{slot:?}: {span:?}"),
+                    );
                 }
                 if span.version + STALENESS_BOUND < version {
-                    self.violate("no sample is older than the bound", &format!("{slot:?}: {span:?} for {version}"));
+                    self.violate(
+                        "no sample is older than the bound",
+                        &format!("{slot:?}: {span:?} for {version}"),
+                    );
                 }
             }
         }
@@ -217,7 +238,9 @@
 
     fn was_produced(&self, prompt: &str, index: u32, version: u64) -> bool {
         let key = (prompt.to_owned(), index);
-        self.engines.iter().any(|e| e.produced.get(&key).is_some_and(|versions| versions.contains(&version)))
+        self.engines
+            .iter()
+            .any(|e| e.produced.get(&key).is_some_and(|versions| versions.contains(&version)))
     }
 
     fn check_step(&mut self) {
@@ -267,9 +290,9 @@
     fn check_callers(&mut self) {
         for (i, caller) in self.callers.iter().enumerate() {
             let host = &self.hosts[caller.host];
-            let paused = self.now < host.paused_until + CALLER_WAIT;
+            let paused = !host.paused_until.is_zero() && self.now < host.paused_until + CALLER_WAIT;
             let waits = caller.waiting_since.is_some_and(|since| self.now > since + CALLER_WAIT);
-            if waits && !caller.done && !(paused && !host.paused_until.is_zero()) {
+            if waits && !caller.done && !paused {
                 let detail = format!("caller {i} waits for host {}", caller.host);
                 return self.violate("every request gets a final answer", &detail);
             }
@@ -280,7 +303,9 @@
     /// that it ran on alone.
     fn check_poison(&mut self) {
         let bound = self.lives as u32 + DEATHS_ALONE as u32;
-        if let Some((prompt, deaths)) = self.poison_deaths.iter().find(|(_, deaths)| **deaths > bound) {
+        if let Some((prompt, deaths)) =
+            self.poison_deaths.iter().find(|(_, deaths)| **deaths > bound)
+        {
             let detail = format!("{prompt}: {deaths} servers lost, bound {bound}");
             self.violate("a request that crashes servers is stopped", &detail);
         }
@@ -291,10 +316,7 @@
         let trainer = self.trainer.stage == Stage::Done;
         let commits = self.hosts.iter().all(|host| host.commits.is_empty());
         let head = self.head().revision;
-        let agreed = self
-            .hosts
-            .iter()
-            .all(|host| host.alive && host.config.revision() == head);
+        let agreed = self.hosts.iter().all(|host| host.alive && host.config.revision() == head);
         let newest = self.trainer.version;
         let weights = self.engines.iter().all(|e| e.active == newest && !e.swapping);
         callers && trainer && commits && agreed && weights
@@ -310,7 +332,8 @@
         if !self.is_settled() {
             let revisions: Vec<_> = self.hosts.iter().map(|h| h.config.revision()).collect();
             let versions: Vec<_> = self.engines.iter().map(|e| e.active).collect();
-            let open: Vec<_> = self.callers.iter().enumerate().filter(|(_, c)| !c.done).map(|(i, _)| i).collect();
+            let open: Vec<_> =
+                self.callers.iter().enumerate().filter(|(_, c)| !c.done).map(|(i, _)| i).collect();
             let detail = format!(
                 "trainer {:?} in step {} version {}, callers {open:?}, revisions {revisions:?} of {}, weights {versions:?}",
                 self.trainer.stage, self.trainer.step, self.trainer.version, head.revision
@@ -320,7 +343,8 @@
         let chain: Vec<(u64, String)> = (1..=head.revision)
             .filter_map(|revision| {
                 let row = self.table.read(&revision_key(revision));
-                buckthornfall_core::table::value::<ManifestRow>(&row).map(|row| (revision, row.hash))
+                buckthornfall_core::table::value::<ManifestRow>(&row)
+                    .map(|row| (revision, row.hash))
             })
             .collect();
         for committed in self.committed.clone() {
@@ -362,7 +386,8 @@
     /// Weights come from the store once for each version, and again only after a fault.
     fn check_store_crossings(&mut self) {
         let bound = 1 + self.fired as u32;
-        if let Some((version, count)) = self.store_stages.iter().find(|(_, count)| **count > bound) {
+        if let Some((version, count)) = self.store_stages.iter().find(|(_, count)| **count > bound)
+        {
             let detail = format!("version {version}: {count} times");
             self.violate("weights cross the region link once", &detail);
         }
--- a/crates/core/tests/matrix/clients.rs
+++ b/crates/core/tests/matrix/clients.rs
@@ -117,8 +117,13 @@
 /// What a caller got.
 #[derive(Debug, Clone)]
 pub enum Answer {
-    Text { text: Bytes, tokens: u32 },
-    Body { status: u16, body: Bytes },
+    Text {
+        text: Bytes,
+        tokens: u32,
+    },
+    Body {
+        body: Bytes,
+    },
     Refused(Refusal),
     /// The connection ended without an answer.
     Broken,
--- a/crates/core/tests/matrix/fakes.rs
+++ b/crates/core/tests/matrix/fakes.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use buckthornfall_core::Now;
-use buckthornfall_proto::messages::{EngineOrder, EngineState, OrderAction};
+use buckthornfall_proto::messages::{EngineOrder, EngineState, OrderAction, TrackState};
 
 /// One run on an engine.
 #[derive(Debug, Clone)]
@@ -61,10 +61,13 @@
     pub fn state(&self) -> EngineState {
         EngineState {
             model: "model".to_owned(),
-            active: self.active,
-            staged: self.staged,
-            swapping: self.swapping,
-            fence: self.fence,
+            tracks: vec![TrackState {
+                adapter: String::new(),
+                active: self.active,
+                staged: self.staged,
+                swapping: self.swapping,
+                fence: self.fence,
+            }],
             slots: SLOTS,
             running: self.runs.len() as u32,
             queued: 0,
--- a/crates/core/tests/matrix/glue.rs
+++ b/crates/core/tests/matrix/glue.rs
@@ -20,6 +20,7 @@
     digest::{fingerprint, sha256_hex},
     manifest::Manifest,
     messages::{Gossip, OrderAction, Outcome, PoisonRow, Row, WeightsRow},
+    track::Track,
 };
 use bytes::Bytes;
 
@@ -27,7 +28,10 @@
     clients::{Answer, Ask, TrainerAnswer, TrainerAsk},
     host::{name, ActiveRequest},
     plan::{Mutation, Step},
-    world::{text_of, Context, Event, HostEvent, Party, StoreOp, StoreReply, World, HOSTS, REQUEST_TIMEOUT},
+    world::{
+        text_of, Context, Event, HostEvent, Party, StoreOp, StoreReply, World, HOSTS,
+        REQUEST_TIMEOUT,
+    },
 };
 
 const POLL: Duration = Duration::from_millis(500);
@@ -43,7 +47,9 @@
                     self.on_store_reply(host, context, reply);
                 }
             }
-            HostEvent::Gossip { from, gossip, is_answer } => self.on_gossip(host, from, *gossip, is_answer),
+            HostEvent::Gossip { from, gossip, is_answer } => {
+                self.on_gossip(host, from, *gossip, is_answer)
+            }
             HostEvent::Pull { from, above } => self.on_pull(host, from, above),
             HostEvent::Push(push) => {
                 let mut out = Vec::new();
@@ -55,12 +61,17 @@
                 let mut event = event;
                 if self.is_mutated(Mutation::BrokenIsNotRun) {
                     if let buckthornfall_core::dispatch::AttemptEvent::Broken { reason } = event {
-                        event = buckthornfall_core::dispatch::AttemptEvent::NotRun { unreachable: false, reason };
+                        event = buckthornfall_core::dispatch::AttemptEvent::NotRun {
+                            unreachable: false,
+                            reason,
+                        };
                     }
                 }
                 if self.is_mutated(Mutation::OrderedVersions) {
                     let wanted = self.hosts[host].rollout.wanted().max(1);
-                    if let buckthornfall_core::dispatch::AttemptEvent::Tokens { version, .. } = &mut event {
+                    if let buckthornfall_core::dispatch::AttemptEvent::Tokens { version, .. } =
+                        &mut event
+                    {
                         *version = wanted;
                     }
                 }
@@ -69,16 +80,22 @@
                 self.hosts[host].dispatcher.on_attempt(now, &attempt, event, &mut out);
                 self.apply_dispatch(host, out);
             }
-            HostEvent::Report { server, state, for_rollout } => self.on_report(host, &server, state, for_rollout),
+            HostEvent::Report { server, state, for_rollout } => {
+                self.on_report(host, &server, state, for_rollout)
+            }
             HostEvent::Isolated { attempt, free } => {
                 let now = self.now;
                 let mut out = Vec::new();
                 self.hosts[host].dispatcher.on_isolated(now, &attempt, free, &mut out);
                 self.apply_dispatch(host, out);
             }
-            HostEvent::Caller { caller, try_number, ask } => self.on_caller(host, caller, try_number, ask),
+            HostEvent::Caller { caller, try_number, ask } => {
+                self.on_caller(host, caller, try_number, ask)
+            }
             HostEvent::Trainer { id, ask } => self.on_trainer(host, id, ask),
-            HostEvent::Commit { manifest, base, operator } => self.on_commit(host, &manifest, base, operator),
+            HostEvent::Commit { manifest, base, operator } => {
+                self.on_commit(host, &manifest, base, operator)
+            }
         }
     }
 
@@ -143,7 +160,8 @@
             self.poll(host, server, false);
         }
         if self.hosts[host].rollout_lease.fence(self.now).is_some() {
-            let servers: Vec<_> = self.hosts[host].rollout.servers().map(|s| s.name.clone()).collect();
+            let servers: Vec<_> =
+                self.hosts[host].rollout.servers().map(|s| s.name.clone()).collect();
             for server in servers {
                 self.poll(host, server, true);
             }
@@ -155,7 +173,7 @@
         let state = self.report_of(host, &server);
         let from = self.party(&server);
         let event = HostEvent::Report { server, state, for_rollout };
-        if !self.to_host(Some(Step::Report), from, host, life, event.clone()) {
+        if !self.send_to_host(Some(Step::Report), from, host, life, event.clone()) {
             if let HostEvent::Report { server, .. } = event {
                 let event = HostEvent::Report { server, state: None, for_rollout };
                 let at = self.now + Duration::from_millis(1500);
@@ -179,7 +197,7 @@
         let now = self.now;
         if for_rollout {
             if let Some(state) = state {
-                self.hosts[host].rollout.on_report(now, server, state);
+                self.hosts[host].rollout.on_report(now, server, &state);
             }
             return;
         }
@@ -198,7 +216,8 @@
         let now = self.now;
         let state = &mut self.hosts[host];
         let listed = state.membership.listed_leaving().iter().cloned();
-        let mut leaving: Vec<_> = state.dispatcher.fleet().leaving().into_iter().chain(listed).collect();
+        let mut leaving: Vec<_> =
+            state.dispatcher.fleet().leaving().into_iter().chain(listed).collect();
         leaving.sort_unstable();
         Gossip {
             from: name(host),
@@ -218,7 +237,7 @@
             let gossip = Box::new(self.message(host));
             let life = self.hosts[to].life;
             let event = HostEvent::Gossip { from: host, gossip, is_answer: false };
-            self.to_host(Some(Step::Gossip), Party::Host(host), to, life, event);
+            self.send_to_host(Some(Step::Gossip), Party::Host(host), to, life, event);
         }
     }
 
@@ -239,14 +258,14 @@
             let answer = Box::new(self.message(host));
             let life = self.hosts[from].life;
             let event = HostEvent::Gossip { from: host, gossip: answer, is_answer: true };
-            self.to_host(None, Party::Host(host), from, life, event);
+            self.send_to_host(None, Party::Host(host), from, life, event);
         }
     }
 
     fn on_pull(&mut self, host: usize, from: usize, above: u64) {
         if let Some(push) = self.hosts[host].config.push_above(&name(host), above) {
             let life = self.hosts[from].life;
-            self.to_host(None, Party::Host(host), from, life, HostEvent::Push(Box::new(push)));
+            self.send_to_host(None, Party::Host(host), from, life, HostEvent::Push(Box::new(push)));
         }
     }
 
@@ -255,17 +274,17 @@
             match action {
                 ConfigAction::ReadHead { key } => {
                     let op = StoreOp::Read(key.to_owned());
-                    self.to_store(host, Some(Step::HeadPoll), Context::Head, op);
+                    self.send_to_store(host, Some(Step::HeadPoll), Context::Head, op);
                 }
                 ConfigAction::GetObject { key, revision } => {
                     let context = Context::Manifest(revision);
-                    self.to_store(host, Some(Step::ManifestGet), context, StoreOp::Get(key));
+                    self.send_to_store(host, Some(Step::ManifestGet), context, StoreOp::Get(key));
                 }
                 ConfigAction::PullFrom { host: target, above } => {
                     let Some(to) = (0..HOSTS).find(|i| name(*i) == target) else { continue };
                     let life = self.hosts[to].life;
                     let event = HostEvent::Pull { from: host, above };
-                    self.to_host(Some(Step::ManifestPull), Party::Host(host), to, life, event);
+                    self.send_to_host(Some(Step::ManifestPull), Party::Host(host), to, life, event);
                 }
                 ConfigAction::InForce(in_force) => {
                     let manifest = in_force.manifest.clone();
@@ -329,7 +348,9 @@
     fn apply_commit(&mut self, host: usize, id: u64, actions: Vec<CommitAction>) {
         for action in actions {
             let (step, op) = match action {
-                CommitAction::PutObject { key, content } => (Step::CommitPut, StoreOp::Put(key, content)),
+                CommitAction::PutObject { key, content } => {
+                    (Step::CommitPut, StoreOp::Put(key, content))
+                }
                 CommitAction::Read { key } => (Step::CommitHead, StoreOp::Read(key)),
                 CommitAction::Txn(txn) => (Step::CommitTxn, StoreOp::Txn(txn)),
                 CommitAction::Done(result) => {
@@ -346,7 +367,7 @@
                     continue;
                 }
             };
-            self.to_store(host, Some(step), Context::Commit(id), op);
+            self.send_to_store(host, Some(step), Context::Commit(id), op);
         }
     }
 
@@ -356,7 +377,9 @@
                 PublishAction::Read { key } => (None, StoreOp::Read(key)),
                 PublishAction::Txn(txn) => (Some(Step::PublishTxn), StoreOp::Txn(txn)),
                 PublishAction::Done(result) => {
-                    let Some((_, asked)) = self.hosts[host].publications.remove(&id) else { continue };
+                    let Some((_, asked)) = self.hosts[host].publications.remove(&id) else {
+                        continue;
+                    };
                     let answer = match result {
                         Ok(_) => TrainerAnswer::Published,
                         Err(refusal) => TrainerAnswer::Refused(refusal),
@@ -365,7 +388,7 @@
                     continue;
                 }
             };
-            self.to_store(host, step, Context::Publish(id), op);
+            self.send_to_store(host, step, Context::Publish(id), op);
         }
     }
 
@@ -389,7 +412,8 @@
 
     fn tick_leases(&mut self, host: usize) {
         let now = self.now;
-        let wanted = self.hosts[host].config.in_force().is_some() && !self.hosts[host].drain.is_leaving();
+        let wanted =
+            self.hosts[host].config.in_force().is_some() && !self.hosts[host].drain.is_leaving();
         let mut out = Vec::new();
         self.hosts[host].steps_lease.tick(now, wanted, &mut out);
         self.apply_lease(host, true, out);
@@ -412,14 +436,20 @@
 
     fn apply_lease(&mut self, host: usize, steps: bool, actions: Vec<LeaseAction>) {
         for action in actions {
-            let key = if steps { self.hosts[host].steps_lease.key() } else { self.hosts[host].rollout_lease.key() };
+            let key = if steps {
+                self.hosts[host].steps_lease.key()
+            } else {
+                self.hosts[host].rollout_lease.key()
+            };
             let (step, attempt, op) = match action {
-                LeaseAction::Read => (Step::LeaseRead, String::new(), StoreOp::Read(key.to_owned())),
+                LeaseAction::Read => {
+                    (Step::LeaseRead, String::new(), StoreOp::Read(key.to_owned()))
+                }
                 LeaseAction::Txn { attempt, txn } => (Step::LeaseTxn, attempt, StoreOp::Txn(txn)),
             };
             let context =
                 if steps { Context::StepsLease(attempt) } else { Context::RolloutLease(attempt) };
-            self.to_store(host, Some(step), context, op);
+            self.send_to_store(host, Some(step), context, op);
         }
     }
 
@@ -433,10 +463,11 @@
         }
         let state = &mut self.hosts[host];
         let Some(fence) = state.steps_lease.fence(now) else { return };
-        if state.coordinating != Some(fence) && state.coordinator.is_some() {
+        let Some(coordinator) = &mut state.coordinator else { return };
+        if state.coordinating != Some(fence) {
             state.coordinating = Some(fence);
             let mut out = Vec::new();
-            state.coordinator.as_mut().expect("checked").recover(&mut out);
+            coordinator.recover(&mut out);
             self.note(|| format!("host {host} coordinates with fence {fence}"));
             self.apply_steps(host, out);
         }
@@ -476,8 +507,8 @@
         };
         if fence.is_some() && now >= state.next_weights {
             state.next_weights = now + POLL;
-            let op = StoreOp::Read(weights_key("model"));
-            self.to_store(host, Some(Step::WeightsRead), Context::Weights, op);
+            let op = StoreOp::Read(weights_key(&Track::new("model", None)));
+            self.send_to_store(host, Some(Step::WeightsRead), Context::Weights, op);
         }
         let mut out = Vec::new();
         self.hosts[host].rollout.tick(now, fence, &mut out);
@@ -505,26 +536,31 @@
                 }
                 StepAction::PutObject { object, key, content } => {
                     let context = Context::StepPut(object, key.clone());
-                    self.to_store(host, Some(Step::GroupPut), context, StoreOp::Put(key, content));
+                    self.send_to_store(
+                        host,
+                        Some(Step::GroupPut),
+                        context,
+                        StoreOp::Put(key, content),
+                    );
                 }
                 StepAction::GetObject { object, key } => {
-                    self.to_store(host, None, Context::StepGet(object), StoreOp::Get(key));
+                    self.send_to_store(host, None, Context::StepGet(object), StoreOp::Get(key));
                 }
                 StepAction::GroupTxn { step, group, txn } => {
                     let context = Context::Group(step, group);
-                    self.to_store(host, Some(Step::GroupTxn), context, StoreOp::Txn(txn));
+                    self.send_to_store(host, Some(Step::GroupTxn), context, StoreOp::Txn(txn));
                 }
                 StepAction::GroupRead { step, group, key } => {
-                    self.to_store(host, None, Context::Group(step, group), StoreOp::Read(key));
+                    self.send_to_store(host, None, Context::Group(step, group), StoreOp::Read(key));
                 }
                 StepAction::Write(txn) => {
-                    self.to_store(host, None, Context::Forget, StoreOp::Txn(txn));
+                    self.send_to_store(host, None, Context::Forget, StoreOp::Txn(txn));
                 }
                 StepAction::ScanSteps { prefix } => {
-                    self.to_store(host, None, Context::Steps, StoreOp::Scan(prefix));
+                    self.send_to_store(host, None, Context::Steps, StoreOp::Scan(prefix));
                 }
                 StepAction::ScanGroups { step, prefix } => {
-                    self.to_store(host, None, Context::Groups(step), StoreOp::Scan(prefix));
+                    self.send_to_store(host, None, Context::Groups(step), StoreOp::Scan(prefix));
                 }
             }
         }
@@ -536,7 +572,10 @@
         let progress = work.resume.clone();
         let mut out = Vec::new();
         if let Err(refusal) = self.hosts[host].dispatcher.submit(now, work, &mut out) {
-            out.push(DispatchAction::Emit { work: id, event: WorkEvent::Failed { refusal, progress } });
+            out.push(DispatchAction::Emit {
+                work: id,
+                event: WorkEvent::Failed { refusal, progress },
+            });
         }
         self.apply_dispatch(host, out);
     }
@@ -555,7 +594,8 @@
             DispatchAction::Start { attempt, work, server, task, class, resume_tokens, .. } => {
                 self.check_start(host, &server);
                 self.attempts.insert(attempt.clone(), (host, life, work));
-                let is_score = matches!(&task, Task::Call { operation, .. } if operation == "score");
+                let is_score =
+                    matches!(&task, Task::Call { operation, .. } if operation == "score");
                 let step = match &task {
                     Task::Generate { .. } => Step::GenerateStart,
                     Task::Call { .. } if is_score => Step::ScoreStart,
@@ -564,11 +604,24 @@
                 let to = self.party(&server);
                 let resume = resume_tokens;
                 self.note(|| format!("host {host} starts {attempt} on {server}"));
-                let event = Event::AttemptArrive { host, life, attempt: attempt.clone(), server, task, resume, class };
+                let event = Event::AttemptArrive {
+                    host,
+                    life,
+                    attempt: attempt.clone(),
+                    server,
+                    task,
+                    resume,
+                    class,
+                };
                 if !self.send(Some(step), Party::Host(host), to, event) {
-                    let event = buckthornfall_core::dispatch::AttemptEvent::Broken { reason: "no answer in time".to_owned() };
+                    let event = buckthornfall_core::dispatch::AttemptEvent::Broken {
+                        reason: "no answer in time".to_owned(),
+                    };
                     let at = self.now + Duration::from_millis(1500);
-                    self.at(at, Event::Host { host, life, event: HostEvent::Attempt { attempt, event } });
+                    self.at(
+                        at,
+                        Event::Host { host, life, event: HostEvent::Attempt { attempt, event } },
+                    );
                 }
             }
             DispatchAction::Cancel { attempt } => {
@@ -578,14 +631,18 @@
             }
             DispatchAction::Emit { work, event } => self.emit(host, work, event),
             DispatchAction::Probe { server } => self.poll(host, server, false),
-            DispatchAction::Isolate { server, attempt, .. } => self.isolate(host, &server, attempt, false),
-            DispatchAction::Unisolate { server, attempt, .. } => self.isolate(host, &server, attempt, true),
+            DispatchAction::Isolate { server, attempt, .. } => {
+                self.isolate(host, &server, attempt, false)
+            }
+            DispatchAction::Unisolate { server, attempt, .. } => {
+                self.isolate(host, &server, attempt, true)
+            }
             DispatchAction::Quarantine(QuarantineAction::Read { fingerprint }) => {
                 let op = StoreOp::Read(quarantine::key(fingerprint));
-                self.to_store(host, None, Context::Quarantine(fingerprint), op);
+                self.send_to_store(host, None, Context::Quarantine(fingerprint), op);
             }
             DispatchAction::Quarantine(QuarantineAction::Txn { fingerprint, txn }) => {
-                self.to_store(host, None, Context::Quarantine(fingerprint), StoreOp::Txn(txn));
+                self.send_to_store(host, None, Context::Quarantine(fingerprint), StoreOp::Txn(txn));
             }
             DispatchAction::Quarantine(QuarantineAction::Answer { .. }) => {}
         }
@@ -595,7 +652,13 @@
         let life = self.hosts[host].life;
         let Party::Engine(engine) = self.party(server) else {
             if !lift {
-                self.to_host(None, Party::Service, host, life, HostEvent::Isolated { attempt, free: true });
+                self.send_to_host(
+                    None,
+                    Party::Service,
+                    host,
+                    life,
+                    HostEvent::Isolated { attempt, free: true },
+                );
             }
             return;
         };
@@ -623,8 +686,9 @@
                 self.answer(host, work, Answer::Text { text, tokens: progress.tokens });
             }
             WorkEvent::Answered { status, body } => {
-                let at_most_once = self.hosts[host].requests.get(&work).is_some_and(|r| r.at_most_once);
-                self.answer(host, work, Answer::Body { status, body: body.clone() });
+                let at_most_once =
+                    self.hosts[host].requests.get(&work).is_some_and(|r| r.at_most_once);
+                self.answer(host, work, Answer::Body { body: body.clone() });
                 if at_most_once {
                     let now = self.now;
                     let mut out = Vec::new();
@@ -734,11 +798,11 @@
         for action in actions {
             match action {
                 ClaimAction::Read { request, key } => {
-                    self.to_store(host, None, Context::Claim(request), StoreOp::Read(key));
+                    self.send_to_store(host, None, Context::Claim(request), StoreOp::Read(key));
                 }
                 ClaimAction::Txn { request, txn } => {
                     let step = Some(Step::ClaimTxn);
-                    self.to_store(host, step, Context::Claim(request), StoreOp::Txn(txn));
+                    self.send_to_store(host, step, Context::Claim(request), StoreOp::Txn(txn));
                 }
                 ClaimAction::Dispatch { request } => {
                     let active = self.hosts[host].requests.get_mut(&request);
@@ -746,8 +810,8 @@
                         self.submit(host, work);
                     }
                 }
-                ClaimAction::Replay { request, status, body } => {
-                    self.answer(host, request, Answer::Body { status, body });
+                ClaimAction::Replay { request, body, .. } => {
+                    self.answer(host, request, Answer::Body { body });
                 }
                 ClaimAction::Refuse { request, refusal } => {
                     self.answer(host, request, Answer::Refused(refusal));
@@ -798,7 +862,12 @@
         }
         if self.hosts[host].coordinating.is_none() || self.hosts[host].coordinator.is_none() {
             let refusal = Refusal::new(ErrorKind::NotCoordinator, "another host coordinates");
-            return self.answer_trainer(host, Step::StepAnswer, id, TrainerAnswer::Refused(refusal));
+            return self.answer_trainer(
+                host,
+                Step::TrainerAnswer,
+                id,
+                TrainerAnswer::Refused(refusal),
+            );
         }
         let mut out = Vec::new();
         let no_freshness = self.is_mutated(Mutation::NoFreshness);
@@ -810,7 +879,7 @@
                     spec.weights_version = 0;
                 }
                 let answer = coordinator.submit(now, spec, &mut out);
-                (Step::StepAnswer, answer.map(|_| TrainerAnswer::Accepted))
+                (Step::TrainerAnswer, answer.map(|_| TrainerAnswer::Accepted))
             }
             TrainerAsk::Pull(mut cursor) => {
                 coordinator.close_before(now, cursor.step, &mut out);
@@ -840,7 +909,7 @@
         let id = self.hosts[host].next_request;
         let attempt = format!("{}/publish/{id}", self.hosts[host].unique());
         let row = WeightsRow { version, object: format!("v{version}"), bytes: 1, attempt };
-        let publish = Publish::new("model", row, self.now + WRITE_LIMIT);
+        let publish = Publish::new(&Track::new("model", None), row, self.now + WRITE_LIMIT);
         let mut out = Vec::new();
         publish.begin(&mut out);
         self.hosts[host].publications.insert(id, (publish, asked));
@@ -887,13 +956,21 @@
                 }
                 self.apply_publish(host, id, out);
             }
-            (Context::StepsLease(attempt), reply) => self.on_lease_reply(host, true, &attempt, &reply),
-            (Context::RolloutLease(attempt), reply) => self.on_lease_reply(host, false, &attempt, &reply),
+            (Context::StepsLease(attempt), reply) => {
+                self.on_lease_reply(host, true, &attempt, &reply)
+            }
+            (Context::RolloutLease(attempt), reply) => {
+                self.on_lease_reply(host, false, &attempt, &reply)
+            }
             (Context::Claim(id), reply) => {
                 let mut out = Vec::new();
                 match reply {
-                    StoreReply::Read(reply) => self.hosts[host].claims.on_read(now, id, &reply, &mut out),
-                    StoreReply::Txn(reply) => self.hosts[host].claims.on_txn(now, id, &reply, &mut out),
+                    StoreReply::Read(reply) => {
+                        self.hosts[host].claims.on_read(now, id, &reply, &mut out)
+                    }
+                    StoreReply::Txn(reply) => {
+                        self.hosts[host].claims.on_txn(now, id, &reply, &mut out)
+                    }
                     _ => {}
                 }
                 self.apply_claims(host, out);
@@ -903,8 +980,12 @@
                 let mut out = Vec::new();
                 let dispatcher = &mut self.hosts[host].dispatcher;
                 match reply {
-                    StoreReply::Read(reply) => dispatcher.on_quarantine_read(now, print, &reply, &mut out),
-                    StoreReply::Txn(reply) => dispatcher.on_quarantine_txn(now, print, &reply, &mut out),
+                    StoreReply::Read(reply) => {
+                        dispatcher.on_quarantine_read(now, print, &reply, &mut out)
+                    }
+                    StoreReply::Txn(reply) => {
+                        dispatcher.on_quarantine_txn(now, print, &reply, &mut out)
+                    }
                     _ => {}
                 }
                 self.apply_dispatch(host, out);
@@ -925,8 +1006,7 @@
         }
         let forget = |row: &mut Row| {
             if let Some(value) = table::value::<PoisonRow>(row) {
-                let forgotten =
-                    PoisonRow { deaths_alone: Vec::new(), quarantined: false, ..value };
+                let forgotten = PoisonRow { deaths_alone: Vec::new(), quarantined: false, ..value };
                 row.value = serde_json::to_string(&forgotten).expect("plain data");
             }
         };
@@ -964,7 +1044,9 @@
                 coordinator.on_object(now, &object, content.as_deref(), &mut out);
             }
             (Context::Steps, StoreReply::Scan(reply)) => coordinator.on_steps(&reply, &mut out),
-            (Context::Groups(step), StoreReply::Scan(reply)) => coordinator.on_groups(step, &reply, &mut out),
+            (Context::Groups(step), StoreReply::Scan(reply)) => {
+                coordinator.on_groups(step, &reply, &mut out)
+            }
             (Context::Group(step, group), StoreReply::Txn(reply)) => {
                 coordinator.on_group_txn(step, group, &reply, &mut out);
             }
--- a/crates/core/tests/matrix/host.rs
+++ b/crates/core/tests/matrix/host.rs
@@ -23,6 +23,7 @@
     ids::Fence,
     manifest::Manifest,
     messages::{HostState, ListedHost},
+    track::Track,
 };
 use std::time::Duration;
 
@@ -114,7 +115,7 @@
             coordinator: None,
             coordinating: None,
             rollout_lease: Lease::new("rollout/model", &unique, LeaseTimes::default()),
-            rollout: Rollout::new("model", "a"),
+            rollout: Rollout::new(Track::new("model", None), "a"),
             dispatcher: Dispatcher::new(place, life, LocalityPick),
             claims: Claims::new(&unique),
             admission: Admission::default(),
--- a/crates/core/tests/matrix/world.rs
+++ b/crates/core/tests/matrix/world.rs
@@ -23,7 +23,9 @@
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
 use crate::{
-    clients::{Answer, Ask, CallerSim, RequestKey, RunLog, TrainerAnswer, TrainerAsk, TrainerSim, POISON},
+    clients::{
+        Answer, Ask, CallerSim, RequestKey, RunLog, TrainerAnswer, TrainerAsk, TrainerSim, POISON,
+    },
     fakes::{EngineRun, FakeEngine, FakeService},
     host::{listed, Host},
     plan::{Fault, Mutation, Step, Trigger},
@@ -120,23 +122,86 @@
 
 #[derive(Debug, Clone)]
 pub enum Event {
-    Host { host: usize, life: u64, event: HostEvent },
-    StoreArrive { host: usize, life: u64, op: u64, context: Context, request: StoreOp, reply: Option<Step> },
-    AttemptArrive { host: usize, life: u64, attempt: AttemptId, server: String, task: Task, resume: u32, class: Class },
-    EngineToken { engine: usize, incarnation: u64, attempt: AttemptId },
-    ServiceRun { host: usize, life: u64, attempt: AttemptId, task: Task },
-    IsolateArrive { host: usize, life: u64, engine: usize, attempt: AttemptId, lift: bool },
-    OrderArrive { engine: usize, order: EngineOrder },
-    StageDone { engine: usize, incarnation: u64, version: u64 },
-    SwapDone { engine: usize, incarnation: u64, version: u64, fails: bool },
-    Restart { host: usize },
-    Stop { host: usize },
-    Resume { host: usize },
-    CallerSend { caller: usize },
-    CallerGet { caller: usize, try_number: u32, answer: Answer },
+    Host {
+        host: usize,
+        life: u64,
+        event: HostEvent,
+    },
+    StoreArrive {
+        host: usize,
+        life: u64,
+        op: u64,
+        context: Context,
+        request: StoreOp,
+        reply: Option<Step>,
+    },
+    AttemptArrive {
+        host: usize,
+        life: u64,
+        attempt: AttemptId,
+        server: String,
+        task: Task,
+        resume: u32,
+        class: Class,
+    },
+    EngineToken {
+        engine: usize,
+        incarnation: u64,
+        attempt: AttemptId,
+    },
+    ServiceRun {
+        host: usize,
+        life: u64,
+        attempt: AttemptId,
+        task: Task,
+    },
+    IsolateArrive {
+        host: usize,
+        life: u64,
+        engine: usize,
+        attempt: AttemptId,
+        lift: bool,
+    },
+    OrderArrive {
+        engine: usize,
+        order: EngineOrder,
+    },
+    StageDone {
+        engine: usize,
+        incarnation: u64,
+        version: u64,
+    },
+    SwapDone {
+        engine: usize,
+        incarnation: u64,
+        version: u64,
+        fails: bool,
+    },
+    Restart {
+        host: usize,
+    },
+    Stop {
+        host: usize,
+    },
+    Resume {
+        host: usize,
+    },
+    CallerSend {
+        caller: usize,
+    },
+    CallerGet {
+        caller: usize,
+        try_number: u32,
+        answer: Answer,
+    },
     TrainerAct,
-    TrainerGet { id: u64, answer: TrainerAnswer },
-    Operator { operator: usize },
+    TrainerGet {
+        id: u64,
+        answer: TrainerAnswer,
+    },
+    Operator {
+        operator: usize,
+    },
 }
 
 pub struct World {
@@ -240,7 +305,10 @@
         let hash = sha256_hex(content.as_bytes());
         let mut table = Rows::default();
         let row = ManifestRow { revision: 1, hash: hash.clone(), attempt: "first".to_owned() };
-        for key in [buckthornfall_core::commit::HEAD_KEY.to_owned(), buckthornfall_core::commit::revision_key(1)] {
+        for key in [
+            buckthornfall_core::commit::HEAD_KEY.to_owned(),
+            buckthornfall_core::commit::revision_key(1),
+        ] {
             table.run(&buckthornfall_core::table::replace(&key, 0, &row));
         }
         let objects = BTreeMap::from([(buckthornfall_core::commit::object_key(&hash), content)]);
@@ -267,7 +335,9 @@
             frozen_list: list,
             hosts: (0..HOSTS).map(|index| Host::new(index, 1)).collect(),
             lives: HOSTS as u64,
-            engines: (0..ENGINES).map(|i| FakeEngine::new(&format!("engine-{i}"), i != 2)).collect(),
+            engines: (0..ENGINES)
+                .map(|i| FakeEngine::new(&format!("engine-{i}"), i != 2))
+                .collect(),
             swaps_to_fail: 0,
             service: FakeService::default(),
             trainer: TrainerSim::new(),
@@ -388,7 +458,10 @@
             return false;
         }
         // One TCP connection carries a request to a server once; resends stand for duplicates.
-        let once = matches!(event, Event::AttemptArrive { .. } | Event::Host { event: HostEvent::Caller { .. }, .. });
+        let once = matches!(
+            event,
+            Event::AttemptArrive { .. } | Event::Host { event: HostEvent::Caller { .. }, .. }
+        );
         let copies = if once { copies.min(1) } else { copies };
         for copy in 0..copies {
             let at = self.now + delay + REORDER * copy;
@@ -483,7 +556,10 @@
     pub fn check_stop(&mut self, host: usize) {
         if !self.hosts[host].requests.is_empty() {
             let count = self.hosts[host].requests.len();
-            self.violate("planned stop cuts nothing off", &format!("host {host}: {count} requests"));
+            self.violate(
+                "planned stop cuts nothing off",
+                &format!("host {host}: {count} requests"),
+            );
         }
     }
 
@@ -512,12 +588,18 @@
         self.note(|| format!("engine {engine} crashes with {} runs", runs.len()));
         for (attempt, run) in runs {
             let event = AttemptEvent::Broken { reason: "the connection ended".to_owned() };
-            self.to_host(None, Party::Engine(engine), run.host, run.life, HostEvent::Attempt { attempt, event });
+            self.send_to_host(
+                None,
+                Party::Engine(engine),
+                run.host,
+                run.life,
+                HostEvent::Attempt { attempt, event },
+            );
         }
     }
 
     /// Sends an event to one life of a host.
-    pub fn to_host(
+    pub fn send_to_host(
         &mut self,
         step: Option<Step>,
         from: Party,
@@ -529,7 +611,13 @@
     }
 
     /// Sends an operation to the store; without a reply in time the host learns just that.
-    pub fn to_store(&mut self, host: usize, step: Option<Step>, context: Context, request: StoreOp) {
+    pub fn send_to_store(
+        &mut self,
+        host: usize,
+        step: Option<Step>,
+        context: Context,
+        request: StoreOp,
+    ) {
         let life = self.hosts[host].life;
         self.hosts[host].next_op += 1;
         let op = self.hosts[host].next_op;
@@ -560,7 +648,7 @@
         if self.now < self.store_down_until {
             let refused = failure(request, self.random(2) == 0);
             let event = HostEvent::Store { op, context, reply: refused };
-            self.to_host(reply_step, Party::Store, host, life, event);
+            self.send_to_host(reply_step, Party::Store, host, life, event);
             return;
         }
         let reply = match request {
@@ -583,7 +671,7 @@
             let at = self.now + SLOWNESS;
             self.at(at, Event::Host { host, life, event });
         } else {
-            self.to_host(reply_step, Party::Store, host, life, event);
+            self.send_to_host(reply_step, Party::Store, host, life, event);
         }
     }
 
@@ -609,7 +697,9 @@
             Event::EngineToken { engine, incarnation, attempt } => {
                 self.on_engine_token(engine, incarnation, attempt);
             }
-            Event::ServiceRun { host, life, attempt, task } => self.on_service_run(host, life, attempt, &task),
+            Event::ServiceRun { host, life, attempt, task } => {
+                self.on_service_run(host, life, attempt, &task)
+            }
             Event::IsolateArrive { host, life, engine, attempt, lift } => {
                 self.on_isolate(host, life, engine, attempt, lift);
             }
@@ -627,7 +717,9 @@
             Event::Stop { host } => self.stop(host),
             Event::Resume { host } => self.resume(host),
             Event::CallerSend { caller } => self.caller_send(caller),
-            Event::CallerGet { caller, try_number, answer } => self.caller_get(caller, try_number, answer),
+            Event::CallerGet { caller, try_number, answer } => {
+                self.caller_get(caller, try_number, answer)
+            }
             Event::TrainerAct => self.trainer_act(),
             Event::TrainerGet { id, answer } => self.trainer_get(id, answer),
             Event::Operator { operator } => self.operate(operator),
@@ -720,14 +812,15 @@
         let from = Party::Engine(engine);
         if self.engines[engine].is_down(self.now) {
             let event = AttemptEvent::NotRun { unreachable: true, reason: "refused".to_owned() };
-            self.to_host(None, from, host, life, HostEvent::Attempt { attempt, event });
+            self.send_to_host(None, from, host, life, HostEvent::Attempt { attempt, event });
             return;
         }
         let ignores = self.is_mutated(Mutation::NoLeavingSignals);
-        let refusal = self.engines[engine].refusal(&attempt).filter(|r| !(ignores && *r == "draining"));
+        let refusal =
+            self.engines[engine].refusal(&attempt).filter(|r| !(ignores && *r == "draining"));
         if let Some(reason) = refusal {
             let event = AttemptEvent::NotRun { unreachable: false, reason: reason.to_owned() };
-            self.to_host(None, from, host, life, HostEvent::Attempt { attempt, event });
+            self.send_to_host(None, from, host, life, HostEvent::Attempt { attempt, event });
             return;
         }
         let Task::Generate { prompt, max_tokens, seed, .. } = task else { return };
@@ -744,7 +837,10 @@
         let Some(request) = request.filter(|_| class == Class::Interactive) else { return };
         self.log.ran.insert(request);
         if self.log.said_not_run.contains(&request) {
-            self.violate("not run means not run", &format!("request {request:?} ran after its refusal"));
+            self.violate(
+                "not run means not run",
+                &format!("request {request:?} ran after its refusal"),
+            );
         }
     }
 
@@ -758,13 +854,14 @@
         }
         let Some(run) = self.engines[engine].runs.get(&attempt).cloned() else { return };
         if run.prompt.starts_with(POISON) {
-            *self.poison_deaths.entry(run.prompt.clone()).or_default() += 1;
+            *self.poison_deaths.entry(run.prompt).or_default() += 1;
             return self.crash_engine(engine);
         }
         let from = Party::Engine(engine);
         if run.at >= run.length {
             self.engines[engine].runs.remove(&attempt);
-            let event = HostEvent::Attempt { attempt: attempt.clone(), event: AttemptEvent::Finished };
+            let event =
+                HostEvent::Attempt { attempt: attempt.clone(), event: AttemptEvent::Finished };
             self.reliable(Step::GenerateEnd, from, run.host, run.life, attempt, event);
             return;
         }
@@ -796,7 +893,8 @@
         event: HostEvent,
     ) -> bool {
         let due = self.reach(step, from, Party::Host(host));
-        let breaks = due.iter().any(|fault| matches!(fault, Fault::MessageLost | Fault::MessageLate));
+        let breaks =
+            due.iter().any(|fault| matches!(fault, Fault::MessageLost | Fault::MessageLate));
         if self.is_cut(from, Party::Host(host)) {
             return false;
         }
@@ -807,10 +905,17 @@
             event
         };
         let at = self.now + HOP;
-        self.at(at, Event::Host { host, life, event: life_event.clone() });
+        self.at(at, Event::Host { host, life, event: life_event });
         if due.contains(&Fault::MessageDuplicated) || due.contains(&Fault::MessageLate) {
             // A late or doubled end of an attempt must change nothing.
-            self.at(at + LATE, Event::Host { host, life, event: HostEvent::Attempt { attempt, event: AttemptEvent::Finished } });
+            self.at(
+                at + LATE,
+                Event::Host {
+                    host,
+                    life,
+                    event: HostEvent::Attempt { attempt, event: AttemptEvent::Finished },
+                },
+            );
         }
         !breaks
     }
@@ -833,7 +938,7 @@
         };
         let event = AttemptEvent::Answered { status: 200, body: Bytes::from(answer) };
         let sent = HostEvent::Attempt { attempt: attempt.clone(), event };
-        if !self.to_host(Some(step), Party::Service, host, life, sent) {
+        if !self.send_to_host(Some(step), Party::Service, host, life, sent) {
             // The host's connection times out.
             let event = AttemptEvent::Broken { reason: "no answer in time".to_owned() };
             let at = self.now + IO_TIMEOUT;
@@ -841,11 +946,24 @@
         }
     }
 
-    fn on_isolate(&mut self, host: usize, life: u64, engine: usize, attempt: AttemptId, lift: bool) {
+    fn on_isolate(
+        &mut self,
+        host: usize,
+        life: u64,
+        engine: usize,
+        attempt: AttemptId,
+        lift: bool,
+    ) {
         let from = Party::Engine(engine);
         if self.engines[engine].is_down(self.now) {
             if !lift {
-                self.to_host(None, from, host, life, HostEvent::Isolated { attempt, free: false });
+                self.send_to_host(
+                    None,
+                    from,
+                    host,
+                    life,
+                    HostEvent::Isolated { attempt, free: false },
+                );
             }
             return;
         }
@@ -857,7 +975,7 @@
         }
         self.engines[engine].isolated_for.clone_from(&attempt);
         if self.engines[engine].runs.is_empty() {
-            self.to_host(None, from, host, life, HostEvent::Isolated { attempt, free: true });
+            self.send_to_host(None, from, host, life, HostEvent::Isolated { attempt, free: true });
         } else {
             let again = Event::IsolateArrive { host, life, engine, attempt, lift };
             self.at(self.now + TICK, again);
@@ -872,7 +990,10 @@
         let incarnation = self.engines[engine].incarnation;
         let version = order.version;
         if order.fence < self.engines[engine].obeyed {
-            let detail = format!("engine {engine} obeyed fence {} after {}", order.fence, self.engines[engine].obeyed);
+            let detail = format!(
+                "engine {engine} obeyed fence {} after {}",
+                order.fence, self.engines[engine].obeyed
+            );
             self.violate("no order of an old holder takes effect", &detail);
         }
         self.engines[engine].obeyed = order.fence;
@@ -928,10 +1049,7 @@
 fn service_state() -> EngineState {
     EngineState {
         model: "service".to_owned(),
-        active: 0,
-        staged: 0,
-        swapping: false,
-        fence: 0,
+        tracks: Vec::new(),
         slots: crate::fakes::SLOTS,
         running: 0,
         queued: 0,
--- a/crates/daemon/src/actors/control.rs
+++ b/crates/daemon/src/actors/control.rs
@@ -20,6 +20,7 @@
         CommitAnswer, CommitRequest, Gossip, LeaseHint, LeaseStatus, ListedHost, ManifestPull,
         PeerMessage, PublishWeights, WeightsRow,
     },
+    track::Track,
 };
 use log::{info, warn};
 use rustc_hash::FxHashMap;
@@ -140,8 +141,8 @@
         self.apply_commit(cx, id, out);
     }
 
-    /// Publishes new weights of a model.
-    pub fn publish(&mut self, cx: CX![], model: String, request: PublishWeights, reply: Reply) {
+    /// Publishes new weights of a track.
+    pub fn publish(&mut self, cx: CX![], track: Track, request: PublishWeights, reply: Reply) {
         self.next_write += 1;
         let id = self.next_write;
         let row = WeightsRow {
@@ -151,7 +152,7 @@
             attempt: format!("{}/publish/{id}", self.identity.unique()),
         };
         let deadline = self.now(cx.now()) + WRITE_LIMIT;
-        let publish = Publish::new(&model, row, deadline);
+        let publish = Publish::new(&track, row, deadline);
         let mut out = Vec::new();
         publish.begin(&mut out);
         self.publications.insert(id, (publish, Some(reply)));
--- a/crates/daemon/src/actors/node.rs
+++ b/crates/daemon/src/actors/node.rs
@@ -15,9 +15,11 @@
 };
 use buckthornfall_proto::{
     check,
-    ids::{ServiceName, TrainerName},
+    ids::TrainerName,
+    manifest::Trainer,
     messages::{BurnAnswer, CommitRequest, LeaseStatus, ListedHost, PeerStatus, StatusAnswer},
     settings::Settings,
+    track::Track,
 };
 use log::info;
 use rustc_hash::FxHashMap;
@@ -77,7 +79,8 @@
     control: ActorOwn<Control>,
     requests: ActorOwn<Requests>,
     trainers: FxHashMap<TrainerName, ActorOwn<TrainerActor>>,
-    rollouts: FxHashMap<(ServiceName, String), ActorOwn<RolloutActor>>,
+    /// Rollouts by track and region.
+    rollouts: FxHashMap<(Track, String), ActorOwn<RolloutActor>>,
     roles: FxHashMap<String, LeaseStatus>,
     view: View,
     summary: Rc<ServingSummary>,
@@ -230,21 +233,20 @@
                 self.start_trainer(cx, trainer.clone());
             }
         }
-        let wanted: Vec<_> = manifest
-            .models
-            .iter()
-            .flat_map(|m| manifest.regions.iter().map(|r| (m.name.clone(), r.name.clone())))
+        let tracks = manifest.trainers.iter().map(track_of);
+        let wanted: Vec<_> = tracks
+            .flat_map(|track| manifest.regions.iter().map(move |r| (track.clone(), r.name.clone())))
             .collect();
         self.rollouts.retain(|key, _| wanted.contains(key));
-        for (model, region) in wanted {
-            let key = (model.clone(), region.clone());
+        for (track, region) in wanted {
+            let key = (track.clone(), region.clone());
             if !self.rollouts.contains_key(&key) && !self.drain.is_leaving() {
                 let news = fwd_to!([cx], on_role() as (RoleNews));
                 let (identity, io) = (self.identity.clone(), self.io.clone());
                 let view = self.view.clone();
                 let rollout = actor!(
                     cx,
-                    RolloutActor::init(identity, io, model, region, view, news),
+                    RolloutActor::init(identity, io, track, region, view, news),
                     ret_nop!()
                 );
                 self.rollouts.insert(key, rollout);
@@ -252,7 +254,7 @@
         }
     }
 
-    fn start_trainer(&mut self, cx: CX![], trainer: buckthornfall_proto::manifest::Trainer) {
+    fn start_trainer(&mut self, cx: CX![], trainer: Trainer) {
         self.namespaces += 1;
         let namespace = self.namespaces;
         let news = fwd_to!([cx], on_role() as (RoleNews));
@@ -345,10 +347,13 @@
         Err(Refusal::new(ErrorKind::Forbidden, message))
     }
 
+    fn trainer(&self, name: &str) -> Option<&Trainer> {
+        let in_force = self.view.in_force.as_ref()?;
+        in_force.manifest.trainers.iter().find(|trainer| trainer.name == name)
+    }
+
     fn trains(&self, trainer: &str, model: &str) -> bool {
-        self.view.in_force.as_ref().is_some_and(|in_force| {
-            in_force.manifest.trainers.iter().any(|t| t.name == trainer && t.model == model)
-        })
+        self.trainer(trainer).is_some_and(|trainer| trainer.model == model)
     }
 
     fn pass_on(&mut self, cx: CX![], call: HttpCall, principal: Principal) {
@@ -377,9 +382,11 @@
                     None => reply.refuse(&no_trainer(&trainer)),
                 }
             }
-            (ApiCall::Publish { model }, _) => {
-                if let Some((request, reply)) = parse(&body, reply) {
-                    call!([self.control], publish(model, request, reply));
+            (ApiCall::Publish { .. }, Principal::Trainer(trainer)) => {
+                let Some((request, reply)) = parse(&body, reply) else { return };
+                match self.trainer(&trainer).map(track_of) {
+                    Some(track) => call!([self.control], publish(track, request, reply)),
+                    None => reply.refuse(&no_trainer(&trainer)),
                 }
             }
             (ApiCall::Commit, _) => {
@@ -454,6 +461,11 @@
     }
 }
 
+/// The weights that a trainer publishes.
+fn track_of(trainer: &Trainer) -> Track {
+    Track::new(&trainer.model, trainer.adapter.as_deref())
+}
+
 fn no_trainer(trainer: &str) -> Refusal {
     let message = format!("trainer {trainer:?} does not exist in the manifest");
     Refusal::new(ErrorKind::NotFound, message)
--- a/crates/daemon/src/actors/rollout.rs
+++ b/crates/daemon/src/actors/rollout.rs
@@ -1,4 +1,4 @@
-//! Rolls new weights of one model out in one region while this daemon holds the lease.
+//! Rolls new weights of one track out in one region while this daemon holds the lease.
 
 use std::time::{Duration, Instant};
 
@@ -11,6 +11,7 @@
 use buckthornfall_proto::{
     ids::ServerId,
     messages::{LeaseStatus, WeightsRow},
+    track::Track,
 };
 use log::info;
 use rustc_hash::FxHashSet;
@@ -32,11 +33,11 @@
 /// Time between two reports of a server otherwise.
 const IDLE_POLL: Duration = Duration::from_secs(2);
 
-/// The rollout of one model in one region.
+/// The rollout of one track in one region.
 pub struct RolloutActor {
     identity: Identity,
     io: Actor<Io>,
-    model: String,
+    track: Track,
     region: String,
     role: Role,
     view: View,
@@ -55,18 +56,18 @@
         cx: CX![],
         identity: Identity,
         io: Actor<Io>,
-        model: String,
+        track: Track,
         region: String,
         view: View,
         news: Fwd<RoleNews>,
     ) -> Option<RolloutActor> {
-        let role = Role::new(format!("rollout/{model}/{region}"), &identity);
+        let role = Role::new(format!("rollout/{}/{region}", track.name()), &identity);
         call!([cx], tick());
         let mut actor = RolloutActor {
             identity,
             io,
-            rollout: Rollout::new(&model, &region),
-            model,
+            rollout: Rollout::new(track.clone(), &region),
+            track,
             region,
             role,
             view: View::default(),
@@ -137,7 +138,7 @@
         if now >= self.next_weights {
             self.next_weights = now + WEIGHTS_POLL;
             let ret = ret_some_to!([cx], on_weights() as (JobResult));
-            call!([self.io], submit(Job::Read(weights_key(&self.model)), ret));
+            call!([self.io], submit(Job::Read(weights_key(&self.track)), ret));
         }
         if now < self.next_poll {
             return;
@@ -157,8 +158,8 @@
         let JobResult::Read(Ok(row)) = result else { return };
         let Some(weights) = table::value::<WeightsRow>(&row) else { return };
         if weights.version > self.rollout.wanted() {
-            let model = self.model.as_str();
-            info!(model, region = self.region.as_str(), version = weights.version; "rollout_started");
+            let track = self.track.name();
+            info!(track = track.as_str(), region = self.region.as_str(), version = weights.version; "rollout_started");
             self.rollout.on_published(self.now(cx.now()), weights.version);
             self.next_poll = Now::ZERO;
         }
@@ -167,7 +168,7 @@
     fn on_report(&mut self, cx: CX![], server: ServerId, result: JobResult) {
         self.polling.remove(&server);
         if let JobResult::State(Some(state)) = result {
-            self.rollout.on_report(self.now(cx.now()), &server, state);
+            self.rollout.on_report(self.now(cx.now()), &server, &state);
         }
     }
 
@@ -177,7 +178,7 @@
                 RolloutAction::Order { server, address, order } => {
                     let action = order.action.to_string();
                     info!(
-                        model = self.model.as_str(), server = server.as_str(),
+                        track = self.track.name().as_str(), server = server.as_str(),
                         action = action.as_str(), version = order.version, fence = order.fence;
                         "order_sent"
                     );
@@ -187,7 +188,7 @@
                 }
                 RolloutAction::Complete { version, took } => {
                     info!(
-                        model = self.model.as_str(), region = self.region.as_str(), version,
+                        track = self.track.name().as_str(), region = self.region.as_str(), version,
                         ms = took.as_millis() as u64;
                         "rollout_complete"
                     );
--- a/crates/daemon/src/actors/serving.rs
+++ b/crates/daemon/src/actors/serving.rs
@@ -11,13 +11,14 @@
 
 use buckthornfall_core::{
     dispatch::{DispatchAction, Dispatcher, Work, WorkEvent, WorkId},
+    fleet::ServerState,
     pick::LocalityPick,
     quarantine::QuarantineAction,
     Now,
 };
 use buckthornfall_proto::{
     ids::{AttemptId, Fingerprint, ServerId, ServiceName},
-    messages::{Isolation, ServerStatus},
+    messages::{Isolation, ServerStatus, TrackVersion},
 };
 use log::{info, warn};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -375,7 +376,7 @@
             name: server.info.name.clone(),
             model: server.service.clone(),
             state: server.describe(now).to_owned(),
-            version: server.version(),
+            versions: versions(server),
             in_flight: server.in_flight,
         });
         let stats = self.dispatcher.stats();
@@ -394,3 +395,10 @@
         }
     }
 }
+
+fn versions(server: &ServerState) -> Vec<TrackVersion> {
+    let tracks = server.report.iter().flat_map(|report| &report.state.tracks);
+    tracks
+        .map(|track| TrackVersion { adapter: track.adapter.clone(), version: track.active })
+        .collect()
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod digest;
 pub mod hot;
 pub mod ids;
+pub mod track;
 
 /// Types generated from `schema/`; `cargo xtask codegen` writes them.
 #[allow(missing_docs, clippy::all)]
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -5,7 +5,7 @@
 pub mod text;
 
 use std::{
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     sync::{
         atomic::{AtomicU32, AtomicU64, Ordering},
         Arc, Mutex,
@@ -18,6 +18,7 @@
     digest::fingerprint,
     messages::{
         CompletionChoice, CompletionChunk, CompletionRequest, EngineOrder, EngineState, Isolation,
+        TrackState,
     },
 };
 
@@ -29,6 +30,8 @@
 pub struct EngineOptions {
     /// Name of the model.
     pub model: String,
+    /// Adapters that are loaded at the start.
+    pub adapters: Vec<String>,
     /// Region of the engine.
     pub region: String,
     /// Availability zone of the engine.
@@ -77,6 +80,7 @@
     fn default() -> EngineOptions {
         EngineOptions {
             model: String::new(),
+            adapters: Vec::new(),
             region: String::new(),
             zone: String::new(),
             slots: 8,
@@ -97,16 +101,6 @@
     }
 }
 
-#[derive(Debug, Default)]
-struct Weights {
-    active: u64,
-    /// 0 when nothing is staged.
-    staged: u64,
-    swapping: bool,
-    /// Highest fencing number seen.
-    fence: u64,
-}
-
 #[derive(Debug, Clone)]
 struct Isolated {
     attempt: String,
@@ -128,7 +122,8 @@
 pub struct Engine {
     options: EngineOptions,
     batch: Batch,
-    weights: Mutex<Weights>,
+    /// Weights by adapter; the empty name is the model itself.
+    tracks: Mutex<BTreeMap<String, TrackState>>,
     cache: Mutex<VecDeque<u64>>,
     isolated: Mutex<Option<Isolated>>,
     down_until: Mutex<Option<Instant>>,
@@ -143,12 +138,14 @@
 const TOKENS_PER_EVENT: u32 = 4;
 
 impl Engine {
-    /// An engine that runs weight version `version`.
+    /// An engine that runs weight version `version` of the model and of its adapters.
     pub fn new(options: EngineOptions, version: u64) -> Arc<Engine> {
+        let names = options.adapters.iter().cloned().chain([String::new()]);
+        let tracks = names.map(|adapter| (adapter.clone(), new_track(adapter, version))).collect();
         let total = Some(Duration::from_secs(60));
         Arc::new(Engine {
             batch: Batch::new(options.slots, options.load_lag),
-            weights: Mutex::new(Weights { active: version, ..Weights::default() }),
+            tracks: Mutex::new(tracks),
             cache: Mutex::new(VecDeque::new()),
             isolated: Mutex::new(None),
             down_until: Mutex::new(None),
@@ -175,9 +172,10 @@
         *self.down_until.lock().expect("no holder panics") = Some(until);
         *self.isolated.lock().expect("no holder panics") = None;
         self.cache.lock().expect("no holder panics").clear();
-        let mut weights = self.weights.lock().expect("no holder panics");
-        weights.staged = 0;
-        weights.swapping = false;
+        for track in self.tracks.lock().expect("no holder panics").values_mut() {
+            track.staged = 0;
+            track.swapping = false;
+        }
     }
 
     /// Makes the next swaps stop partway.
@@ -200,21 +198,19 @@
         self.counters.crashes.load(Ordering::Relaxed)
     }
 
-    /// The weight version that is active.
-    pub fn active(&self) -> u64 {
-        self.weights.lock().expect("no holder panics").active
+    /// The weight version of an adapter that is active; 0 for none.
+    pub fn active(&self, adapter: &str) -> u64 {
+        let tracks = self.tracks.lock().expect("no holder panics");
+        tracks.get(adapter).map_or(0, |track| track.active)
     }
 
     /// What the engine reports, with the load as it was before the lag.
     pub fn state(&self) -> EngineState {
-        let weights = self.weights.lock().expect("no holder panics");
+        let tracks = self.tracks.lock().expect("no holder panics");
         let load = self.batch.reported();
         EngineState {
             model: self.options.model.clone(),
-            active: weights.active,
-            staged: weights.staged,
-            swapping: weights.swapping,
-            fence: weights.fence,
+            tracks: tracks.values().cloned().collect(),
             slots: self.options.slots,
             running: load.running,
             queued: load.queued,
@@ -229,12 +225,10 @@
     }
 
     /// Why a request is not run; `None` if it is.
-    fn refusal(&self, attempt: &str) -> Option<&'static str> {
-        let weights = self.weights.lock().expect("no holder panics");
-        if weights.swapping {
+    fn refusal(&self, attempt: &str, adapter: &str) -> Option<&'static str> {
+        if self.is_swapping(adapter) {
             return Some("changing weights");
         }
-        drop(weights);
         if *self.draining.lock().expect("no holder panics") {
             return Some("draining");
         }
@@ -244,6 +238,11 @@
         other.then_some("kept free for another request")
     }
 
+    fn is_swapping(&self, adapter: &str) -> bool {
+        let tracks = self.tracks.lock().expect("no holder panics");
+        ["", adapter].iter().any(|name| tracks.get(*name).is_some_and(|track| track.swapping))
+    }
+
     fn isolate(&self, call: Call) {
         let Some((call, isolation)) = call.json::<Isolation>() else { return };
         let mut isolated = self.isolated.lock().expect("no holder panics");
@@ -258,11 +257,12 @@
 
     fn complete(&self, call: Call) {
         let attempt = call.header("x-attempt").to_owned();
-        if let Some(reason) = self.refusal(&attempt) {
-            return call.not_run(reason);
-        }
         let distance = self.delay_to(&call);
         let Some((call, request)) = call.json::<CompletionRequest>() else { return };
+        let adapter = request.adapter.as_deref().unwrap_or_default();
+        if let Some(reason) = self.refusal(&attempt, adapter) {
+            return call.not_run(reason);
+        }
         let incarnation = self.incarnation.load(Ordering::Relaxed);
         self.batch.enter(request.priority);
         pause(distance);
@@ -298,7 +298,7 @@
         let mut at = request.resume_tokens;
         while at < length {
             let end = (at + TOKENS_PER_EVENT).min(length);
-            self.work_on(end - at);
+            self.work_on(end - at, request.adapter.as_deref().unwrap_or_default());
             if crashes && self.incarnation.load(Ordering::Relaxed) == incarnation {
                 self.crash();
             }
@@ -334,7 +334,7 @@
             id: attempt.to_owned(),
             choices: vec![choice],
             tokens,
-            version: self.active(),
+            version: self.active(request.adapter.as_deref().unwrap_or_default()),
         };
         stream.send(&serde_json::to_string(&chunk).expect("messages are plain data"))
     }
@@ -363,16 +363,20 @@
     }
 
     /// Takes the time of some tokens; a swap stops the batch until it ends.
-    fn work_on(&self, tokens: u32) {
+    fn work_on(&self, tokens: u32, adapter: &str) {
         let load = self.batch.load();
         let fill = f64::from(load.running) / f64::from(self.options.slots);
         pause(self.options.token.mul_f64(f64::from(tokens) * (1.0 + fill)));
-        while self.weights.lock().expect("no holder panics").swapping {
+        while self.is_swapping(adapter) {
             pause(Duration::from_millis(5));
         }
     }
 }
 
+fn new_track(adapter: String, version: u64) -> TrackState {
+    TrackState { adapter, active: version, staged: 0, swapping: false, fence: 0 }
+}
+
 struct EngineHandler(Arc<Engine>);
 
 impl Handler for EngineHandler {
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -5,9 +5,9 @@
     thread,
 };
 
-use buckthornfall_proto::messages::{EngineOrder, OrderAction};
+use buckthornfall_proto::messages::{EngineOrder, OrderAction, TrackState};
 
-use super::Engine;
+use super::{new_track, Engine};
 use crate::server::{pause, Call};
 
 /// Every event with this number is missing from the cache events.
@@ -16,12 +16,15 @@
 impl Engine {
     /// Takes an order; the work goes on after the answer.
     pub(super) fn order(engine: &Arc<Engine>, call: Call, order: EngineOrder) {
-        let mut weights = engine.weights.lock().expect("no holder panics");
+        let mut tracks = engine.tracks.lock().expect("no holder panics");
+        let weights = tracks
+            .entry(order.adapter.clone())
+            .or_insert_with(|| new_track(order.adapter.clone(), 0));
         if order.fence < weights.fence {
             engine.counters.old_orders.fetch_add(1, Ordering::Relaxed);
             if engine.options.checks_fence {
                 let text = format!("fencing number {} is below {}", order.fence, weights.fence);
-                drop(weights);
+                drop(tracks);
                 return call.text(409, &text);
             }
         }
@@ -33,7 +36,7 @@
             OrderAction::Activate => weights.active == order.version && !weights.swapping,
         };
         let staged = weights.staged == order.version;
-        drop(weights);
+        drop(tracks);
         if order.action == OrderAction::Activate && !staged && !done {
             return call.text(409, "the version is not staged");
         }
@@ -47,9 +50,10 @@
     /// Sends a copy of the weights to another engine.
     pub(super) fn export_weights(&self, call: Call) {
         let version = call.parameter("version").parse().unwrap_or(0);
-        let weights = self.weights.lock().expect("no holder panics");
-        let held = weights.active == version || weights.staged == version;
-        drop(weights);
+        let tracks = self.tracks.lock().expect("no holder panics");
+        let track = tracks.get(call.parameter("adapter"));
+        let held = track.is_some_and(|t| t.active == version || t.staged == version);
+        drop(tracks);
         if !held {
             return call.text(404, "this version is not here");
         }
@@ -98,36 +102,46 @@
     fn stage(&self, order: &EngineOrder, incarnation: u64) {
         let url = if order.source == "store" {
             format!(
-                "http://{}/v1/weights/{}-{}?bytes={}&region={}",
+                "http://{}/v1/weights/{}-{}-{}?bytes={}&region={}",
                 self.options.weight_store,
                 order.model,
+                order.adapter,
                 order.version,
                 self.options.weight_bytes,
                 self.options.region
             )
         } else {
-            format!("http://{}/admin/weights?version={}", order.source, order.version)
+            format!(
+                "http://{}/admin/weights?version={}&adapter={}",
+                order.source, order.version, order.adapter
+            )
         };
         let loaded = self.http.get(&url, &[]).is_ok_and(|reply| reply.status == 200);
-        let mut weights = self.weights.lock().expect("no holder panics");
         if loaded && self.incarnation.load(Ordering::Relaxed) == incarnation {
-            weights.staged = order.version;
+            self.change(&order.adapter, |track| track.staged = order.version);
         }
     }
 
     fn activate(&self, order: &EngineOrder, incarnation: u64) {
-        self.weights.lock().expect("no holder panics").swapping = true;
+        self.change(&order.adapter, |track| track.swapping = true);
         pause(self.options.swap);
         let fails = self
             .swaps_to_fail
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1))
             .is_ok();
-        let mut weights = self.weights.lock().expect("no holder panics");
         if fails || self.incarnation.load(Ordering::Relaxed) != incarnation {
             return;
         }
-        weights.active = order.version;
-        weights.staged = 0;
-        weights.swapping = false;
+        self.change(&order.adapter, |track| {
+            track.active = order.version;
+            track.staged = 0;
+            track.swapping = false;
+        });
+    }
+
+    fn change(&self, adapter: &str, change: impl FnOnce(&mut TrackState)) {
+        if let Some(track) = self.tracks.lock().expect("no holder panics").get_mut(adapter) {
+            change(track);
+        }
     }
 }
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -114,6 +114,7 @@
         for info in &model.servers {
             let options = EngineOptions {
                 model: model.name.clone(),
+                adapters: model.adapters.clone(),
                 region: region_of(&manifest, &info.zone),
                 zone: info.zone.clone(),
                 slots: info.slots,
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -125,10 +125,7 @@
     fn state(&self) -> EngineState {
         EngineState {
             model: self.options.service.clone(),
-            active: 0,
-            staged: 0,
-            swapping: false,
-            fence: 0,
+            tracks: Vec::new(),
             slots: self.options.slots,
             running: self.running.load(Ordering::Relaxed),
             queued: 0,
--- a/crates/standins/src/trainer.rs
+++ b/crates/standins/src/trainer.rs
@@ -35,8 +35,6 @@
     pub max_tokens: u32,
     /// Version of the weights at the start.
     pub version: u64,
-    /// Whether the trainer publishes new weights after each step.
-    pub publishes: bool,
     /// Time that the trainer computes with a whole step.
     pub compute: Duration,
     /// Staleness bound, as the manifest says.
@@ -114,9 +112,6 @@
                 break;
             }
             thread::sleep(self.options.compute);
-            if !self.options.publishes {
-                continue;
-            }
             version += 1;
             if let Err(reason) = self.publish(version) {
                 self.report.gave_up = Some(reason);
