--- /dev/null
+++ b/crates/daemon/tests/processes.rs
@@ -0,0 +1,169 @@
+//! Daemon processes that are killed or stopped in the middle of requests and steps.
+
+mod support;
+
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread,
+    time::Duration,
+};
+
+use buckthornfall_proto::{digest::fingerprint, messages::CallerCompletion};
+use buckthornfall_standins::{
+    callers::{Caller, CallerOptions, CallerReport, Said},
+    engine::text,
+    trainer::{Trainer, TrainerOptions, TrainerReport},
+};
+use support::Cluster;
+
+const FAST: Duration = Duration::from_micros(500);
+const SLOW: Duration = Duration::from_millis(20);
+/// A run that takes longer hangs.
+const HANG_LIMIT: Duration = Duration::from_secs(240);
+
+fn trainer(cluster: &Cluster, steps: u64) -> Trainer {
+    let settings = &cluster.manifest.trainers[0];
+    Trainer::new(TrainerOptions {
+        name: settings.name.clone(),
+        model: settings.model.clone(),
+        client: cluster.options(&format!("token-of-{}", settings.name)),
+        first_step: 1,
+        steps,
+        groups: 12,
+        samples: 4,
+        max_tokens: 128,
+        version: 1,
+        compute: Duration::ZERO,
+        staleness_bound: settings.staleness_bound,
+        limit: HANG_LIMIT,
+        forgets_cursor: false,
+    })
+}
+
+fn assert_whole(report: &TrainerReport, steps: u64) {
+    assert_eq!(report.gave_up, None);
+    assert_eq!(report.steps, steps);
+    assert_eq!(report.delivered, report.expected);
+    assert_eq!((report.duplicated, report.stale, report.foreign), (0, 0, 0));
+}
+
+fn caller(cluster: &Cluster, name: &str) -> Caller {
+    let service = &cluster.manifest.plain_services[0];
+    Caller::new(CallerOptions {
+        name: name.to_owned(),
+        client: cluster.options("token-of-clerks"),
+        model: cluster.manifest.models[0].name.clone(),
+        service: service.name.clone(),
+        lookup: "lookup".to_owned(),
+        record: "record-fee".to_owned(),
+        max_tokens: 32,
+        pause: Duration::ZERO,
+        crash_text: String::new(),
+    })
+}
+
+fn assert_honest(cluster: &Cluster, report: &CallerReport) {
+    let runs = cluster.ledger.runs();
+    assert_eq!(report.foreign, 0);
+    for (key, said) in &report.records {
+        let ran = runs.get(key).copied().unwrap_or(0);
+        assert!(ran <= 1, "{key} ran {ran} times");
+        match said {
+            Said::Answered => assert_eq!(ran, 1, "{key} was answered"),
+            Said::NotRun => assert_eq!(ran, 0, "{key} was called not run"),
+            Said::Unknown => {}
+        }
+    }
+}
+
+#[test]
+fn sigterm_in_the_middle_of_an_answer_cuts_nothing_off() {
+    let mut cluster = Cluster::start("sigterm-answer", 2, SLOW);
+    let client = cluster.client("token-of-clerks");
+    let prompt = "a long answer";
+    let request = CallerCompletion {
+        model: "permit-models".to_owned(),
+        prompt: prompt.to_owned(),
+        max_tokens: 256,
+        stream: true,
+        adapter: None,
+    };
+    let body = serde_json::to_vec(&request).expect("plain data");
+    let address = cluster.processes[0].listed.address.clone();
+    let http = buckthornfall_client::http::Http::new(&buckthornfall_client::http::HttpOptions {
+        total: None,
+        ..Default::default()
+    });
+    let headers = [("authorization", "Bearer token-of-clerks")];
+    let url = format!("http://{address}/v1/completions");
+    let mut lines = http.post_lines(&url, &headers, &body).expect("the daemon answers");
+    assert_eq!(lines.status, 200);
+    let first = lines.next_line().expect("tokens come").expect("tokens come");
+    cluster.processes[0].terminate();
+    let mut events = vec![first];
+    while let Some(line) = lines.next_line().expect("the stream is not cut") {
+        events.push(line);
+    }
+    let data: Vec<_> = events.iter().filter_map(|line| line.strip_prefix("data: ")).collect();
+    assert_eq!(data.last(), Some(&"[DONE]"));
+    let answer: String = data
+        .iter()
+        .filter_map(|text| serde_json::from_str::<serde_json::Value>(text).ok())
+        .filter_map(|event| event["choices"][0]["text"].as_str().map(str::to_owned))
+        .collect();
+    let seed = fingerprint(&[b"permit-models", b"", prompt.as_bytes(), &256u32.to_le_bytes()]);
+    let length = text::length(prompt, seed, 256);
+    assert!(text::is_answer(prompt, &answer, length), "{answer}");
+    assert!(cluster.processes[0].ends_well());
+    let entry = client.ask_entry().expect("the other daemon answers");
+    assert!(entry.addresses.iter().all(|entry| entry.address != address));
+}
+
+#[test]
+fn kill_of_the_coordinator_in_the_middle_of_a_step_loses_no_sample() {
+    let mut cluster = Cluster::start("kill-step", 3, FAST * 4);
+    let run = trainer(&cluster, 2);
+    let trainer = thread::spawn(move || run.run());
+    cluster.wait_for_row("group/permit-drafts/");
+    cluster.holder("steps/permit-drafts").kill();
+    assert_whole(&trainer.join().expect("the trainer does not panic"), 2);
+}
+
+#[test]
+fn sigterm_of_the_coordinator_in_the_middle_of_a_step_loses_no_sample() {
+    let mut cluster = Cluster::start("sigterm-step", 3, FAST * 4);
+    let run = trainer(&cluster, 2);
+    let trainer = thread::spawn(move || run.run());
+    cluster.wait_for_row("group/permit-drafts/");
+    let coordinator = cluster.holder("steps/permit-drafts");
+    coordinator.terminate();
+    let ended = coordinator.ends_well();
+    assert_whole(&trainer.join().expect("the trainer does not panic"), 2);
+    assert!(ended);
+}
+
+#[test]
+fn kill_in_the_middle_of_requests_runs_nothing_twice() {
+    let mut cluster = Cluster::start("kill-request", 2, FAST);
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..4)
+        .map(|i| {
+            let (caller, stop) = (caller(&cluster, &format!("clerk-{i}")), Arc::clone(&stop));
+            thread::spawn(move || caller.run(&stop))
+        })
+        .collect();
+    while cluster.ledger.runs().len() < 20 {
+        thread::yield_now();
+    }
+    cluster.processes[0].kill();
+    while cluster.ledger.runs().len() < 60 {
+        thread::yield_now();
+    }
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        assert_honest(&cluster, &caller.join().expect("a caller does not panic"));
+    }
+}
