--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -16,10 +16,16 @@
 pub const ROUND: Duration = Duration::from_secs(1);
 /// Daemons that one round is sent to.
 pub const FANOUT: usize = 2;
+/// Members that one round asks directly.
+pub const PROBES: usize = 3;
 /// Member entries in one message.
-pub const ENTRIES: usize = 48;
+pub const ENTRIES: usize = 56;
+/// Rounds between two heartbeats of a daemon; the others only pass on what is new.
+pub const HEARTBEAT_ROUNDS: u64 = 8;
 /// A member whose heartbeat stood still for this long is taken for dead.
-pub const ALIVE_FOR: Duration = Duration::from_secs(12);
+pub const ALIVE_FOR: Duration = Duration::from_secs(30);
+/// A member whose heartbeat stood still for this long is asked directly.
+pub const PROBE_AFTER: Duration = Duration::from_secs(14);
 /// How long a dead member is remembered that the host list does not name.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Every round with this number also tries a member that is taken for dead.
@@ -30,10 +36,12 @@
 #[derive(Debug, Clone)]
 struct Member {
     entry: MemberEntry,
-    /// When the heartbeat or the incarnation last grew, on this daemon's clock.
+    /// When the version grew at its origin, on this daemon's clock.
     advanced: Now,
     /// How often this entry was passed on since it grew.
     sent: u32,
+    /// When the member was last asked directly.
+    probed: Now,
 }
 
 /// What a daemon knows of another, or of itself.
@@ -87,10 +95,10 @@
 }
 
 impl Membership {
-    /// A daemon that knows only itself.
-    pub fn new(own: ListedHost, incarnation: u64, seed: u64) -> Membership {
-        let entry =
-            MemberEntry { host: own.host.clone(), incarnation, heartbeat: 0, leaving: false };
+    /// A daemon that knows only itself. `version` must be higher than at earlier starts of the
+    /// host: its time of start in seconds, which grows faster than heartbeats do.
+    pub fn new(own: ListedHost, version: u64, seed: u64) -> Membership {
+        let entry = MemberEntry { host: own.host.clone(), version, age_s: 0, leaving: false };
         Membership {
             own: entry,
             members: BTreeMap::new(),
@@ -106,7 +114,7 @@
     /// Marks this daemon as leaving.
     pub fn leave(&mut self) {
         self.own.leaving = true;
-        self.own.heartbeat += 1;
+        self.own.version += 1;
     }
 
     /// Takes the platform's host list.
@@ -131,11 +139,18 @@
         }
         self.next_round = now + ROUND;
         self.round += 1;
-        self.own.heartbeat += 1;
+        if self.round.is_multiple_of(HEARTBEAT_ROUNDS) {
+            self.own.version += 1;
+        }
         let (alive, dead): (Vec<_>, Vec<_>) =
             self.peers(now).into_iter().partition(|peer| peer.alive);
         let mut targets: Vec<_> =
             alive.choose_multiple(&mut self.rng, FANOUT).map(target).collect();
+        let stale = self.probes(now);
+        if !stale.is_empty() {
+            targets.truncate(FANOUT - 1);
+            targets.extend(stale);
+        }
         let lonely = targets.len() < FANOUT;
         if lonely || self.round.is_multiple_of(REJOIN_ROUNDS) {
             targets.extend(dead.choose(&mut self.rng).map(target));
@@ -143,14 +158,34 @@
         targets
     }
 
+    /// Members to ask directly because their heartbeat stood still for long, those that were
+    /// not asked for longest first.
+    fn probes(&mut self, now: Now) -> Vec<Target> {
+        let age = |member: &Member| now.saturating_sub(member.advanced);
+        let is_stale = |member: &Member| age(member) > PROBE_AFTER && age(member) <= ALIVE_FOR;
+        let mut stale: Vec<_> =
+            self.members.values_mut().filter(|member| is_stale(member)).collect();
+        stale.sort_by_key(|member| member.probed);
+        let mut targets = Vec::new();
+        for member in stale.into_iter().take(PROBES) {
+            member.probed = now;
+            if let Some(listed) = self.listed.get(&member.entry.host) {
+                let peer_address = listed.peer_address.clone();
+                targets.push(Target { host: listed.host.clone(), peer_address });
+            }
+        }
+        targets
+    }
+
     /// Entries for one message: this daemon's, then those passed on least.
-    pub fn entries(&mut self) -> Vec<MemberEntry> {
+    pub fn entries(&mut self, now: Now) -> Vec<MemberEntry> {
         let mut rest: Vec<_> = self.members.values_mut().collect();
         rest.sort_by_key(|member| (member.sent, std::cmp::Reverse(member.advanced)));
         let mut entries = vec![self.own.clone()];
         for member in rest.into_iter().take(ENTRIES - 1) {
             member.sent += 1;
-            entries.push(member.entry.clone());
+            let age_s = now.saturating_sub(member.advanced).as_secs() as u32;
+            entries.push(MemberEntry { age_s, ..member.entry.clone() });
         }
         entries
     }
@@ -234,18 +269,19 @@
     }
 
     fn on_entry(&mut self, now: Now, entry: &MemberEntry) {
-        let newest =
-            self.members.get(&entry.host).map(|m| (m.entry.incarnation, m.entry.heartbeat));
-        if newest.is_none_or(|newest| (entry.incarnation, entry.heartbeat) > newest) {
-            let member = Member { entry: entry.clone(), advanced: now, sent: 0 };
+        let newest = self.members.get(&entry.host).map(|member| member.entry.version);
+        if newest.is_none_or(|newest| entry.version > newest) {
+            let age = Duration::from_secs(entry.age_s.into());
+            let advanced = now.saturating_sub(age);
+            let member = Member { entry: entry.clone(), advanced, sent: 0, probed: Now::ZERO };
             self.members.insert(entry.host.clone(), member);
         }
     }
 
     /// An entry of an earlier run of this host must not outlive it.
     fn refute(&mut self, entry: &MemberEntry) {
-        if entry.incarnation > self.own.incarnation {
-            self.own.incarnation = entry.incarnation + 1;
+        if entry.version > self.own.version {
+            self.own.version = entry.version + 1;
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/capacity.rs
@@ -0,0 +1,108 @@
+//! Costs of control at the target size, against the bounds of the stated target.
+
+#[path = "support/gossip.rs"]
+mod gossip;
+#[path = "support/sizes.rs"]
+mod sizes;
+
+use std::time::Duration;
+
+use gossip::{GossipNet, ZONES};
+
+const SEED: u64 = 11;
+const DAEMONS: usize = 400;
+const SERVERS: usize = 2500;
+const TRAINERS: usize = 8;
+/// Bytes a second that control may cost one daemon, sent and received.
+const CONTROL_BYTES_PER_S: u64 = 12_000;
+const CHANGE_LIMIT: Duration = Duration::from_secs(9);
+const LOSS_PER_MILLE: u32 = 100;
+const CHANGES_PER_DAY: u64 = 14_000;
+const DAY: u64 = 86_400;
+/// Time after which all daemons know that others have died.
+const DEAD_SEEN_WITHIN: Duration = Duration::from_secs(35);
+
+/// Time until gossip has settled after all daemons start at once.
+const SETTLED: Duration = Duration::from_secs(30);
+
+fn settled(loss_per_mille: u32) -> GossipNet {
+    let mut net = GossipNet::new(DAEMONS, loss_per_mille, SEED);
+    net.run(SETTLED);
+    net
+}
+
+#[test]
+fn gossip_stays_within_the_bytes_for_control() {
+    let mut net = settled(0);
+    net.reset_counts();
+    net.run(SETTLED + Duration::from_secs(60));
+    let worst = net.nodes.iter().map(|node| (node.bytes_in + node.bytes_out) / 60).max();
+    assert!(worst <= Some(CONTROL_BYTES_PER_S), "{worst:?} bytes a second");
+}
+
+#[test]
+fn no_daemon_that_lives_is_taken_for_dead() {
+    let mut net = settled(LOSS_PER_MILLE);
+    let mut wrong = 0;
+    for second in 0..120 {
+        net.run(SETTLED + Duration::from_secs(second));
+        let now = net.now;
+        for node in &net.nodes {
+            wrong += DAEMONS - node.membership.alive(now).len();
+        }
+    }
+    assert_eq!(wrong, 0, "of {} views", 120 * DAEMONS * DAEMONS);
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_in_time_without_the_table() {
+    let mut net = settled(LOSS_PER_MILLE);
+    net.install(0, &sizes::push(1, &sizes::manifest(SERVERS, TRAINERS, 0)));
+    net.run(SETTLED + Duration::from_secs(60));
+    let from = net.now;
+    net.install(0, &sizes::push(2, &sizes::manifest(SERVERS, TRAINERS, 1)));
+    net.run(from + Duration::from_secs(60));
+    let last = net.nodes.iter().map(|node| node.in_force_at.get(&2).copied()).max().flatten();
+    let all = net.nodes.iter().all(|node| node.in_force_at.contains_key(&2));
+    let took = last.map(|at| at - from);
+    assert!(all && took <= Some(CHANGE_LIMIT), "{took:?}");
+}
+
+#[test]
+fn changes_of_a_day_fit_into_the_bytes_for_control() {
+    let mut net = settled(0);
+    net.install(0, &sizes::push(1, &sizes::manifest(SERVERS, TRAINERS, 0)));
+    net.run(SETTLED + Duration::from_secs(60));
+    net.reset_counts();
+    let from = net.now;
+    let pause = Duration::from_secs_f64(DAY as f64 / CHANGES_PER_DAY as f64);
+    let changes = 4;
+    for change in 1..=changes {
+        let author = change as usize * 37 % DAEMONS;
+        net.run(from + pause * change);
+        let push = sizes::push(
+            u64::from(change) + 1,
+            &sizes::manifest(SERVERS, TRAINERS, change as usize),
+        );
+        net.install(author, &push);
+    }
+    net.run(from + pause * (changes + 2));
+    let seconds = (net.now - from).as_secs();
+    let all: u64 = net.nodes.iter().map(|node| node.bytes_in + node.bytes_out).sum();
+    let mean = all / DAEMONS as u64 / seconds;
+    assert!(mean <= CONTROL_BYTES_PER_S, "{mean} bytes a second on average");
+}
+
+#[test]
+fn a_dead_zone_is_seen_everywhere_in_time() {
+    let mut net = settled(LOSS_PER_MILLE);
+    let dead = |index: &usize| index % ZONES == 0;
+    net.kill((0..DAEMONS).filter(dead));
+    let from = net.now;
+    net.run(from + DEAD_SEEN_WITHIN);
+    let now = net.now;
+    let living = (0..DAEMONS).filter(|i| !dead(i)).count();
+    for (index, node) in net.nodes.iter().enumerate().filter(|(i, _)| !dead(i)) {
+        assert_eq!(node.membership.alive(now).len(), living, "as daemon {index} sees it");
+    }
+}
--- a/crates/core/tests/matrix/glue.rs
+++ b/crates/core/tests/matrix/glue.rs
@@ -222,7 +222,7 @@
         Gossip {
             from: name(host),
             revision: state.config.revision(),
-            members: state.membership.entries(),
+            members: state.membership.entries(now),
             leaving_servers: leaving,
             quarantined: state.dispatcher.quarantine().quarantined().collect(),
             suspects: state.dispatcher.quarantine().spreading(now),
--- a/crates/daemon/src/actors/control.rs
+++ b/crates/daemon/src/actors/control.rs
@@ -102,7 +102,7 @@
         call!([cx], tick());
         let seed = buckthornfall_proto::digest::fingerprint(&[identity.unique().as_bytes()]);
         Some(Control {
-            membership: Membership::new(own, identity.incarnation, seed),
+            membership: Membership::new(own, identity.incarnation / 1000, seed),
             identity,
             io,
             serving,
@@ -236,14 +236,14 @@
 
     fn gossip(&mut self, now: Now) {
         for target in self.membership.tick(now) {
-            let message = PeerMessage::Gossip(self.message());
+            let message = PeerMessage::Gossip(self.message(now));
             let outgoing = Outgoing { host: target.host, address: target.peer_address, message };
             metrics::counter!("gossip_sent_total").increment(1);
             self.peers.send(outgoing);
         }
     }
 
-    fn message(&mut self) -> Gossip {
+    fn message(&mut self, now: Now) -> Gossip {
         let listed = self.membership.listed_leaving().iter();
         let leaving = self.own_leaving_servers.iter().chain(listed).cloned();
         let newest =
@@ -255,7 +255,7 @@
             quarantined: newest(&self.quarantined),
             suspects: newest(&self.suspects),
             leases: self.own_leases.clone(),
-            members: self.membership.entries(),
+            members: self.membership.entries(now),
         }
     }
 
@@ -270,7 +270,8 @@
             PeerEvent::Request { message: PeerMessage::Gossip(gossip), reply } => {
                 self.on_gossip(cx, gossip);
                 // A peer that hung up asks again in its next round.
-                let _ = reply.send(PeerMessage::Gossip(self.message()));
+                let message = self.message(self.now(cx.now()));
+                let _ = reply.send(PeerMessage::Gossip(message));
             }
             PeerEvent::Request { message: PeerMessage::ManifestPull(pull), reply } => {
                 let host = &self.identity.place.host;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -170,7 +170,11 @@
         thread::spawn(move || lines.for_each(drop));
         let field = |name: &str| {
             let parts = started.split(' ').filter_map(|part| part.split_once('='));
-            parts.filter(|(key, _)| *key == name).map(|(_, v)| v.to_owned()).next().expect("a field")
+            parts
+                .filter(|(key, _)| *key == name)
+                .map(|(_, v)| v.to_owned())
+                .next()
+                .expect("a field")
         };
         let listed = ListedHost {
             host: settings.host,
@@ -227,9 +231,10 @@
         let key = format!("lease/{role}");
         let host = loop {
             let rows = self.table.rows(&key);
-            let row = rows.iter().filter(|row| row.key == key).find_map(|row| {
-                serde_json::from_str::<serde_json::Value>(&row.value).ok()
-            });
+            let row = rows
+                .iter()
+                .filter(|row| row.key == key)
+                .find_map(|row| serde_json::from_str::<serde_json::Value>(&row.value).ok());
             let holder = row.and_then(|row| row["holder"].as_str().map(str::to_owned));
             match holder.as_deref().and_then(|holder| holder.split_once('#')) {
                 Some((host, _)) => break host.to_owned(),
--- a/crates/proto/src/hot.rs
+++ b/crates/proto/src/hot.rs
@@ -28,10 +28,10 @@
 pub struct MemberEntry {
     /// Name of the daemon's host.
     pub host: HostId,
-    /// Grows at each start of the daemon.
-    pub incarnation: u64,
-    /// Grows while the daemon runs; within one incarnation the highest is the newest.
-    pub heartbeat: u64,
+    /// Grows with each heartbeat and with each start of the daemon; the highest is the newest.
+    pub version: u64,
+    /// Seconds since that heartbeat, as the sender knows it.
+    pub age_s: u32,
     /// Whether the daemon is in a planned stop.
     pub leaving: bool,
 }
@@ -79,8 +79,8 @@
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let mut tuple = serializer.serialize_tuple(MEMBER_FIELDS)?;
         tuple.serialize_element(&self.host)?;
-        tuple.serialize_element(&self.incarnation)?;
-        tuple.serialize_element(&self.heartbeat)?;
+        tuple.serialize_element(&self.version)?;
+        tuple.serialize_element(&self.age_s)?;
         tuple.serialize_element(&self.leaving)?;
         tuple.end()
     }
@@ -92,14 +92,14 @@
     type Value = MemberEntry;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a member entry [host, incarnation, heartbeat, leaving]")
+        f.write_str("a member entry [host, version, age, leaving]")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<MemberEntry, A::Error> {
         Ok(MemberEntry {
             host: field(&mut seq, 0, &self)?,
-            incarnation: field(&mut seq, 1, &self)?,
-            heartbeat: field(&mut seq, 2, &self)?,
+            version: field(&mut seq, 1, &self)?,
+            age_s: field(&mut seq, 2, &self)?,
             leaving: field(&mut seq, 3, &self)?,
         })
     }
