Rollout at 2,500 servers: loads that take long, one crossing, one short activation

Measured by tests/capacity.rs in virtual time (store 30 s, copy 8 s, swap 1 s). Before: did not end in an hour; an order to load was sent again every 3 s (1,180 loads from the store), and choosing sources was cubic (270 s of processor time). After engines report what they load: all hold the weights after 72.75 s with 1 load from the store, but activation began with the first holder and took 42 s (bound 13 s). After activation waits until all hold them (120 s at most): 3.75 s in each region.

--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -13,6 +13,8 @@
     track::Track,
 };
 
+use rustc_hash::FxHashMap;
+
 use crate::Now;
 
 /// What a rollout asks for.
@@ -42,12 +44,22 @@
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which an order that shows no effect is sent again.
 const ORDER_RETRY: Duration = Duration::from_secs(3);
+/// Longest time to load weights.
+const LOAD_LIMIT: Duration = Duration::from_secs(600);
 /// Longest time of a swap; one that takes longer has failed partway and is ordered again.
 const SWAP_LIMIT: Duration = Duration::from_secs(8);
 /// Time after which an activation that shows no effect will have none.
 const ACTIVATION_LIMIT: Duration = Duration::from_secs(30);
 /// Longest age of a report that counts.
 const REPORT_VALID: Duration = Duration::from_secs(5);
+/// Time between two reports of a server that has an order.
+const ORDERED_POLL: Duration = Duration::from_millis(300);
+/// Time between two reports of a server while others have orders.
+const UNDER_WAY_POLL: Duration = Duration::from_secs(1);
+/// Time between two reports of a server otherwise.
+const IDLE_POLL: Duration = Duration::from_secs(4);
+/// How long activation waits for servers that do not hold the weights yet.
+const STAGE_PATIENCE: Duration = Duration::from_secs(120);
 /// Servers that load from one server at the same time.
 const COPIES_PER_SOURCE: usize = 4;
 
@@ -60,6 +72,8 @@
     /// An activation that no report has shown yet. It may take effect late, so that the server
     /// counts as out of service.
     activating: Option<Ordered>,
+    /// When the server's next report is asked for.
+    next_poll: Now,
 }
 
 #[derive(Debug, Clone)]
@@ -80,6 +94,8 @@
     /// Highest version that was published.
     wanted: WeightVersion,
     wanted_since: Now,
+    /// When a server was first seen to hold the wanted version.
+    first_held: Option<Now>,
     completed: WeightVersion,
     fence: Fence,
     /// No order before this time, so that orders of the last holder have ended.
@@ -96,6 +112,7 @@
             targets: BTreeMap::new(),
             wanted: 0,
             wanted_since: Now::ZERO,
+            first_held: None,
             completed: 0,
             fence: 0,
             quiet_until: Now::ZERO,
@@ -137,6 +154,22 @@
         }
     }
 
+    /// Servers whose report is due: often while an order is under way, else seldom.
+    pub fn polls(&mut self, now: Now) -> Vec<Server> {
+        let under_way = self.is_under_way();
+        let mut due = Vec::new();
+        for target in self.targets.values_mut().filter(|target| now >= target.next_poll) {
+            let interval = match (&target.ordered, under_way) {
+                (Some(_), _) => ORDERED_POLL,
+                (None, true) => UNDER_WAY_POLL,
+                (None, false) => IDLE_POLL,
+            };
+            target.next_poll = now + interval;
+            due.push(target.info.clone());
+        }
+        due
+    }
+
     /// Version that the servers are brought to.
     pub fn wanted(&self) -> WeightVersion {
         self.wanted
@@ -147,6 +180,10 @@
         if version > self.wanted {
             self.wanted = version;
             self.wanted_since = now;
+            self.first_held = None;
+            for target in self.targets.values_mut() {
+                target.next_poll = now;
+            }
         }
     }
 
@@ -157,6 +194,7 @@
             adapter: self.track.adapter.clone(),
             active: 0,
             staged: 0,
+            loading: 0,
             swapping: false,
             fence: 0,
         });
@@ -204,8 +242,14 @@
     fn forget_lost_orders(&mut self, now: Now) {
         for target in self.targets.values_mut() {
             let lost = target.ordered.as_ref().is_some_and(|ordered| {
-                let swapping = target.report.as_ref().is_some_and(|(_, state)| state.swapping);
-                let patience = if swapping { SWAP_LIMIT } else { ORDER_RETRY };
+                let state = target.report.as_ref().map(|(_, state)| state);
+                let loading = state.is_some_and(|state| state.loading == ordered.version);
+                let swapping = state.is_some_and(|state| state.swapping);
+                let patience = match ordered.action {
+                    OrderAction::Stage if loading => LOAD_LIMIT,
+                    OrderAction::Activate if swapping => SWAP_LIMIT,
+                    _ => ORDER_RETRY,
+                };
                 now.saturating_sub(ordered.at) > patience
             });
             if lost {
@@ -227,32 +271,53 @@
             .filter(|target| !target.holds(wanted))
             .map(|target| target.info.name.clone())
             .collect();
+        let mut sources = self.sources(now).into_iter();
         for server in behind {
-            if let Some(source) = self.source(now) {
-                self.order(now, &server, OrderAction::Stage, source, out);
-            }
+            let Some(source) = sources.next() else { return };
+            self.order(now, &server, OrderAction::Stage, source, out);
         }
     }
 
-    /// The weights cross the link to the region once; there, servers copy from each other.
-    fn source(&self, now: Now) -> Option<String> {
-        let holders = self.targets.values().filter(|t| t.is_known(now) && t.holds(self.wanted));
-        let copies = |address: &str| {
-            let loads = |t: &&Target| t.ordered.as_ref().is_some_and(|o| o.source == address);
-            self.targets.values().filter(loads).count()
+    /// Where servers may load from now, one entry for each load. The weights cross the link to
+    /// the region once; there, servers copy from each other.
+    fn sources(&self, now: Now) -> Vec<String> {
+        let mut loads: FxHashMap<&str, usize> = FxHashMap::default();
+        for ordered in self.targets.values().filter_map(|target| target.ordered.as_ref()) {
+            *loads.entry(&ordered.source).or_default() += 1;
+        }
+        let loads_from = |source: &str| loads.get(source).copied().unwrap_or(0);
+        let holders: Vec<_> =
+            self.targets.values().filter(|t| t.is_known(now) && t.holds(self.wanted)).collect();
+        if holders.is_empty() {
+            let free = loads_from(STORE) == 0;
+            return free.then(|| STORE.to_owned()).into_iter().collect();
+        }
+        let free = |target: &&Target| {
+            let address = target.info.address.clone();
+            let free = COPIES_PER_SOURCE.saturating_sub(loads_from(&address));
+            std::iter::repeat_n(address, free)
         };
-        let least =
-            holders.map(|target| (copies(&target.info.address), &target.info.address)).min();
-        if let Some((copies, address)) = least {
-            return (copies < COPIES_PER_SOURCE).then(|| address.clone());
+        holders.iter().flat_map(free).collect()
+    }
+
+    /// Activation starts when all servers hold the weights, so that few versions are in use at
+    /// a time; a server that does not get them delays the others for `STAGE_PATIENCE` only.
+    fn may_activate(&mut self, now: Now) -> bool {
+        let holds = |target: &&Target| target.holds(self.wanted);
+        let known = || self.targets.values().filter(|target| target.is_known(now));
+        let holders = known().filter(holds).count();
+        if holders == 0 {
+            return false;
         }
-        let loads_from_store =
-            |t: &Target| t.ordered.as_ref().is_some_and(|ordered| ordered.source == STORE);
-        let from_store = self.targets.values().any(loads_from_store);
-        (!from_store).then(|| STORE.to_owned())
+        let all = known().count() == holders;
+        let since = *self.first_held.get_or_insert(now);
+        all || now.saturating_sub(since) >= STAGE_PATIENCE
     }
 
     fn activate(&mut self, now: Now, out: &mut Vec<RolloutAction>) {
+        if !self.may_activate(now) {
+            return;
+        }
         let mut allowed = self.wave_room(now);
         let staged: Vec<_> = self
             .targets
@@ -299,6 +364,7 @@
             target.activating = Some(ordered.clone());
         }
         target.ordered = Some(ordered);
+        target.next_poll = now + ORDERED_POLL;
         out.push(RolloutAction::Order {
             server: server.to_owned(),
             address: target.info.address.clone(),
@@ -326,7 +392,7 @@
 
 impl Target {
     fn new(info: Server) -> Target {
-        Target { info, report: None, ordered: None, activating: None }
+        Target { info, report: None, ordered: None, activating: None, next_poll: Now::ZERO }
     }
 
     fn state(&self) -> Option<&TrackState> {
--- a/crates/core/tests/capacity.rs
+++ b/crates/core/tests/capacity.rs
@@ -1,5 +1,7 @@
 //! Costs of control at the target size, against the bounds of the stated target.
 
+#[path = "support/fleet.rs"]
+mod fleet;
 #[path = "support/gossip.rs"]
 mod gossip;
 #[path = "support/sizes.rs"]
@@ -24,6 +26,9 @@
 /// Time after which all daemons know that others have died.
 const DEAD_SEEN_WITHIN: Duration = Duration::from_secs(35);
 
+const WEIGHTS_LIMIT: Duration = Duration::from_secs(13);
+const NEW_WEIGHTS_EVERY: Duration = Duration::from_secs(19 * 60);
+
 /// Time until gossip has settled after all daemons start at once.
 const SETTLED: Duration = Duration::from_secs(30);
 
@@ -123,3 +128,15 @@
     let views: Vec<_> = net.nodes.iter().map(|node| node.membership.alive(now).len()).collect();
     assert!(views.iter().all(|alive| *alive == DAEMONS), "{views:?}");
 }
+
+#[test]
+fn weights_are_active_everywhere_in_time() {
+    let manifest = sizes::manifest(SERVERS, TRAINERS, 0);
+    let manifest = buckthornfall_proto::check::manifest_value(manifest).expect("it is valid");
+    for region in &manifest.regions {
+        let cost = fleet::roll_out(&manifest, &region.name);
+        assert!(cost.activated <= WEIGHTS_LIMIT, "{}: {cost:?}", region.name);
+        assert!(cost.staged + cost.activated <= NEW_WEIGHTS_EVERY, "{}: {cost:?}", region.name);
+        assert_eq!(cost.from_store, 1, "{}: {cost:?}", region.name);
+    }
+}
--- a/crates/core/tests/matrix/fakes.rs
+++ b/crates/core/tests/matrix/fakes.rs
@@ -65,6 +65,7 @@
                 adapter: String::new(),
                 active: self.active,
                 staged: self.staged,
+                loading: 0,
                 swapping: self.swapping,
                 fence: self.fence,
             }],
--- a/crates/core/tests/matrix/glue.rs
+++ b/crates/core/tests/matrix/glue.rs
@@ -159,13 +159,6 @@
         for server in servers {
             self.poll(host, server, false);
         }
-        if self.hosts[host].rollout_lease.fence(self.now).is_some() {
-            let servers: Vec<_> =
-                self.hosts[host].rollout.servers().map(|s| s.name.clone()).collect();
-            for server in servers {
-                self.poll(host, server, true);
-            }
-        }
     }
 
     fn poll(&mut self, host: usize, server: String, for_rollout: bool) {
@@ -517,6 +510,11 @@
             let op = StoreOp::Read(weights_key(&Track::new("model", None)));
             self.send_to_store(host, Some(Step::WeightsRead), Context::Weights, op);
         }
+        if self.hosts[host].rollout_lease.fence(now).is_some() {
+            for server in self.hosts[host].rollout.polls(now) {
+                self.poll(host, server.name, true);
+            }
+        }
         let mut out = Vec::new();
         self.hosts[host].rollout.tick(now, fence, &mut out);
         for action in out {
--- a/crates/daemon/src/actors/rollout.rs
+++ b/crates/daemon/src/actors/rollout.rs
@@ -28,10 +28,6 @@
 
 /// Time between two reads of the row of published weights.
 const WEIGHTS_POLL: Duration = Duration::from_millis(500);
-/// Time between two reports of a server while a rollout is under way.
-const BUSY_POLL: Duration = Duration::from_millis(150);
-/// Time between two reports of a server otherwise.
-const IDLE_POLL: Duration = Duration::from_secs(2);
 
 /// The rollout of one track in one region.
 pub struct RolloutActor {
@@ -44,7 +40,6 @@
     rollout: Rollout,
     revision: u64,
     next_weights: Now,
-    next_poll: Now,
     polling: FxHashSet<ServerId>,
     news: Fwd<RoleNews>,
     reported: Option<LeaseStatus>,
@@ -73,7 +68,6 @@
             view: View::default(),
             revision: 0,
             next_weights: Now::ZERO,
-            next_poll: Now::ZERO,
             polling: FxHashSet::default(),
             news,
             reported: None,
@@ -140,16 +134,10 @@
             let ret = ret_some_to!([cx], on_weights() as (JobResult));
             call!([self.io], submit(Job::Read(weights_key(&self.track)), ret));
         }
-        if now < self.next_poll {
-            return;
-        }
-        self.next_poll = now + if self.rollout.is_under_way() { BUSY_POLL } else { IDLE_POLL };
-        let servers: Vec<_> =
-            self.rollout.servers().map(|s| (s.name.clone(), s.address.clone())).collect();
-        for (server, address) in servers {
-            if self.polling.insert(server.clone()) {
-                let ret = ret_some_to!([cx], on_report(server) as (JobResult));
-                call!([self.io], submit(Job::State(address), ret));
+        for server in self.rollout.polls(now) {
+            if self.polling.insert(server.name.clone()) {
+                let ret = ret_some_to!([cx], on_report(server.name) as (JobResult));
+                call!([self.io], submit(Job::State(server.address), ret));
             }
         }
     }
@@ -161,7 +149,6 @@
             let track = self.track.name();
             info!(track = track.as_str(), region = self.region.as_str(), version = weights.version; "rollout_started");
             self.rollout.on_published(self.now(cx.now()), weights.version);
-            self.next_poll = Now::ZERO;
         }
     }
 
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -174,6 +174,7 @@
         self.cache.lock().expect("no holder panics").clear();
         for track in self.tracks.lock().expect("no holder panics").values_mut() {
             track.staged = 0;
+            track.loading = 0;
             track.swapping = false;
         }
     }
@@ -374,7 +375,7 @@
 }
 
 fn new_track(adapter: String, version: u64) -> TrackState {
-    TrackState { adapter, active: version, staged: 0, swapping: false, fence: 0 }
+    TrackState { adapter, active: version, staged: 0, loading: 0, swapping: false, fence: 0 }
 }
 
 struct EngineHandler(Arc<Engine>);
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -31,7 +31,7 @@
         weights.fence = weights.fence.max(order.fence);
         let done = match order.action {
             OrderAction::Stage => {
-                weights.active == order.version || weights.staged == order.version
+                [weights.active, weights.staged, weights.loading].contains(&order.version)
             }
             OrderAction::Activate => weights.active == order.version && !weights.swapping,
         };
@@ -116,10 +116,12 @@
                 order.source, order.version, order.adapter
             )
         };
+        self.change(&order.adapter, |track| track.loading = order.version);
         let loaded = self.http.get(&url, &[]).is_ok_and(|reply| reply.status == 200);
         if loaded && self.incarnation.load(Ordering::Relaxed) == incarnation {
             self.change(&order.adapter, |track| track.staged = order.version);
         }
+        self.change(&order.adapter, |track| track.loading = 0);
     }
 
     fn activate(&self, order: &EngineOrder, incarnation: u64) {
