--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -308,7 +308,8 @@
 
     /// Starts queued work for which a server has room.
     fn pump(&mut self, now: Now, out: &mut Vec<DispatchAction>) {
-        let services: Vec<_> = self.queues.keys().cloned().collect();
+        let waiting = self.queues.iter().filter(|(_, queue)| !queue.entries.is_empty());
+        let services: Vec<_> = waiting.map(|(service, _)| service.clone()).collect();
         for service in services {
             self.pump_service(now, &service, out);
         }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -71,7 +71,7 @@
 }
 
 /// Longest age of a report by which a server is given new work.
-pub const REPORT_VALID: Duration = Duration::from_secs(5);
+pub const REPORT_VALID: Duration = Duration::from_secs(10);
 const BACKOFF_FIRST: Duration = Duration::from_millis(500);
 const BACKOFF_DOUBLINGS: u32 = 5;
 
--- a/crates/core/src/pick.rs
+++ b/crates/core/src/pick.rs
@@ -33,9 +33,16 @@
 impl Pick for LocalityPick {
     fn pick(&mut self, candidates: &[Candidate<'_>], prefix: u64) -> Option<ServerId> {
         let rank = |c: &Candidate<'_>| rendezvous_rank(prefix, &c.server.info.name);
-        let mut ranks: Vec<u64> = candidates.iter().map(rank).collect();
-        ranks.sort_unstable_by(|a, b| b.cmp(a));
-        let holds_from = ranks.get(PREFIX_SERVERS - 1).copied().unwrap_or(0);
+        let mut highest = [0u64; PREFIX_SERVERS];
+        for candidate in candidates {
+            // Keeps the highest ranks in descending order.
+            let lower = highest.partition_point(|known| *known > rank(candidate));
+            if lower < PREFIX_SERVERS {
+                highest[lower..].rotate_right(1);
+                highest[lower] = rank(candidate);
+            }
+        }
+        let holds_from = highest[PREFIX_SERVERS - 1];
         let cost = |c: &Candidate<'_>| {
             let gain = if rank(c) >= holds_from { PREFIX_GAIN } else { 0.0 };
             c.server.load_ratio() + distance_cost(c.server.distance) - gain
--- a/crates/core/tests/support/gossip.rs
+++ b/crates/core/tests/support/gossip.rs
@@ -24,6 +24,7 @@
     Message { from: usize, to: usize, is_answer: bool, message: PeerMessage },
 }
 
+#[allow(dead_code, reason = "each target that includes this file uses a part of it")]
 pub struct Node {
     pub membership: Membership,
     pub config: Config,
@@ -65,6 +66,7 @@
     host.rsplit('-').next().and_then(|number| number.parse().ok()).expect("a test host")
 }
 
+#[allow(dead_code, reason = "each target that includes this file uses a part of it")]
 impl GossipNet {
     pub fn new(daemons: usize, loss_per_mille: u32, seed: u64) -> GossipNet {
         let list = HostListAnswer {
--- a/crates/daemon/src/actors/control.rs
+++ b/crates/daemon/src/actors/control.rs
@@ -43,8 +43,10 @@
     telemetry::Telemetry,
 };
 
-/// Time between two reads of the host list.
+/// Shortest time between two reads of the host list.
 const HOST_LIST_POLL: Duration = Duration::from_secs(1);
+/// Time between two reads of the host list, for each host: the list grows with them.
+const HOST_LIST_POLL_PER_HOST: Duration = Duration::from_millis(75);
 /// Longest time between two views for the other actors.
 const VIEW_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest time of a commit or a publication.
@@ -193,7 +195,8 @@
         self.gossip(now);
         self.tick_writes(cx, now);
         if now >= self.next_host_list {
-            self.next_host_list = now + HOST_LIST_POLL;
+            let hosts = self.membership.len() as u32;
+            self.next_host_list = now + (HOST_LIST_POLL_PER_HOST * hosts).max(HOST_LIST_POLL);
             let ret = ret_some_to!([cx], on_host_list() as (JobResult));
             call!([self.io], submit(Job::HostList, ret));
         }
--- a/crates/daemon/src/actors/serving.rs
+++ b/crates/daemon/src/actors/serving.rs
@@ -42,8 +42,10 @@
 /// News of one piece of work for its owner.
 pub type WorkNews = (WorkId, WorkEvent);
 
-/// Time between two reports of a server.
-const POLL: Duration = Duration::from_millis(500);
+/// Time between two reports of a server, for each server that this daemon works with.
+const POLL_PER_SERVER: Duration = Duration::from_millis(60);
+const POLL_SHORTEST: Duration = Duration::from_millis(500);
+const POLL_LONGEST: Duration = Duration::from_secs(4);
 /// Time between two summaries for the other actors.
 const SUMMARY: Duration = Duration::from_millis(250);
 /// Time between two looks at a server that should run nothing else.
@@ -179,7 +181,8 @@
         self.dispatcher.tick(now, &mut out);
         self.apply(cx, out);
         if now >= self.next_poll {
-            self.next_poll = now + POLL;
+            let servers = self.dispatcher.fleet().iter().count() as u32;
+            self.next_poll = now + (POLL_PER_SERVER * servers).clamp(POLL_SHORTEST, POLL_LONGEST);
             let servers: Vec<_> =
                 self.dispatcher.fleet().iter().map(|server| server.info.name.clone()).collect();
             for server in servers {
--- a/crates/proto/src/digest.rs
+++ b/crates/proto/src/digest.rs
@@ -1,7 +1,7 @@
 //! Hashes: SHA-256 for contents and tokens, XXH3 for fingerprints and ranks.
 
 use sha2::{Digest, Sha256};
-use xxhash_rust::xxh3::{xxh3_64, Xxh3};
+use xxhash_rust::xxh3::{xxh3_64_with_seed, Xxh3};
 
 use crate::ids::Fingerprint;
 
@@ -22,5 +22,5 @@
 
 /// Rank of `candidate` for `key` in rendezvous hashing; the highest rank wins.
 pub fn rendezvous_rank(key: u64, candidate: &str) -> u64 {
-    xxh3_64(&[&key.to_le_bytes(), candidate.as_bytes()].concat())
+    xxh3_64_with_seed(candidate.as_bytes(), key)
 }
