--- /dev/null
+++ b/crates/core/tests/limits.rs
@@ -0,0 +1,271 @@
+//! Limits, retries and refusals of one daemon.
+
+#[path = "support/sizes.rs"]
+mod sizes;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use buckthornfall_core::{
+    admission::{Admission, RetryBudget},
+    dispatch::{AttemptEvent, Class, DispatchAction, Dispatcher, Progress, Task, Work, WorkEvent},
+    error::{ErrorKind, Refusal},
+    fleet::Place,
+    pick::LocalityPick,
+    Now,
+};
+use buckthornfall_proto::{
+    check,
+    manifest::Manifest,
+    messages::{EngineState, Outcome},
+};
+use bytes::Bytes;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn manifest() -> Manifest {
+    check::manifest_value(sizes::manifest(8, 1, 0)).expect("it is valid")
+}
+
+fn state(incarnation: u64) -> EngineState {
+    EngineState {
+        model: "model".to_owned(),
+        tracks: Vec::new(),
+        slots: 128,
+        running: 0,
+        queued: 0,
+        draining: false,
+        incarnation,
+    }
+}
+
+fn dispatcher(manifest: &Manifest) -> Dispatcher<LocalityPick> {
+    let place = Place { host: "entry-0".into(), zone: "zone-0".into(), region: "region-0".into() };
+    let mut dispatcher = Dispatcher::new(place, 1, LocalityPick);
+    let hosts = ["entry-0".to_owned()];
+    dispatcher.configure(Now::ZERO, manifest, &hosts, &mut Vec::new());
+    for server in servers(&dispatcher) {
+        dispatcher.on_report(Now::ZERO, &server, state(1), &mut Vec::new());
+    }
+    dispatcher
+}
+
+fn servers(dispatcher: &Dispatcher<LocalityPick>) -> Vec<String> {
+    dispatcher.fleet().iter().map(|server| server.info.name.clone()).collect()
+}
+
+fn look(id: u64, deadline: Now) -> Work {
+    Work {
+        id,
+        service: "plain".to_owned(),
+        class: Class::Interactive,
+        task: Task::Call {
+            operation: "look".to_owned(),
+            key: String::new(),
+            body: Bytes::from_static(b"permit"),
+        },
+        idempotent: true,
+        fingerprint: id,
+        prefix: 0,
+        deadline,
+        rank: id,
+        avoid: None,
+        resume: Progress::default(),
+    }
+}
+
+fn starts(out: &[DispatchAction]) -> Vec<(String, String)> {
+    let start = |action: &DispatchAction| match action {
+        DispatchAction::Start { attempt, server, .. } => Some((attempt.clone(), server.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(start).collect()
+}
+
+fn failures(out: &[DispatchAction]) -> Vec<Refusal> {
+    let failure = |action: &DispatchAction| match action {
+        DispatchAction::Emit { event: WorkEvent::Failed { refusal, .. }, .. } => {
+            Some(refusal.clone())
+        }
+        _ => None,
+    };
+    out.iter().filter_map(failure).collect()
+}
+
+fn refused() -> AttemptEvent {
+    AttemptEvent::NotRun { unreachable: true, reason: "connection refused".to_owned() }
+}
+
+#[test]
+fn attempts_stay_bounded_when_a_zone_dies() {
+    const REQUESTS: u64 = 1000;
+    let manifest = manifest();
+    let mut dispatcher = dispatcher(&manifest);
+    let mut attempts = 0;
+    for id in 1..=REQUESTS {
+        let now = SECOND + Duration::from_millis(id);
+        let mut out = Vec::new();
+        // Reports say that all is well, and every connection is refused.
+        for server in servers(&dispatcher) {
+            dispatcher.on_report(now, &server, state(1), &mut out);
+        }
+        if dispatcher.submit(now, look(id, now + SECOND * 10), &mut out).is_err() {
+            continue;
+        }
+        while let Some((attempt, _)) = starts(&out).first().cloned() {
+            attempts += 1;
+            out.clear();
+            dispatcher.on_attempt(now, &attempt, refused(), &mut out);
+        }
+    }
+    let share = u64::from(manifest.limits.retry_percent);
+    let bound = REQUESTS + REQUESTS * share / 100 + RetryBudget::RESERVE as u64;
+    assert!(attempts <= bound, "{attempts} attempts for {REQUESTS} requests, bound {bound}");
+}
+
+#[test]
+fn a_request_that_is_given_up_is_answered_at_once_and_truthfully() {
+    let manifest = manifest();
+    let mut dispatcher = dispatcher(&manifest);
+    let mut out = Vec::new();
+    dispatcher.submit(SECOND, look(1, SECOND * 30), &mut out).expect("there is room");
+    let mut refusals = Vec::new();
+    while let Some((attempt, _)) = starts(&out).first().cloned() {
+        out.clear();
+        dispatcher.on_attempt(SECOND, &attempt, refused(), &mut out);
+        refusals.extend(failures(&out));
+    }
+    assert_eq!(refusals.len(), 1, "{refusals:?}");
+    assert_eq!(refusals[0].work_outcome(), Outcome::NotRun);
+    assert!(refusals[0].answer().retry_after_ms.is_some());
+    assert_eq!(dispatcher.in_flight(), 0);
+}
+
+#[test]
+fn a_retry_after_a_cut_is_never_called_not_run() {
+    let manifest = manifest();
+    let mut dispatcher = dispatcher(&manifest);
+    let mut out = Vec::new();
+    dispatcher.submit(SECOND, look(1, SECOND * 30), &mut out).expect("there is room");
+    let (attempt, server) = starts(&out)[0].clone();
+    out.clear();
+    let cut = AttemptEvent::Broken { reason: "connection reset".to_owned() };
+    dispatcher.on_attempt(SECOND, &attempt, cut, &mut out);
+    assert!(failures(&out).is_empty(), "the report of the server decides");
+    dispatcher.on_report(SECOND, &server, state(1), &mut out);
+    let mut refusals = Vec::new();
+    while let Some((attempt, _)) = starts(&out).last().cloned() {
+        out.clear();
+        dispatcher.on_attempt(SECOND, &attempt, refused(), &mut out);
+        refusals.extend(failures(&out));
+    }
+    assert_eq!(refusals.len(), 1);
+    assert_eq!(refusals[0].work_outcome(), Outcome::Unknown);
+}
+
+#[test]
+fn a_non_idempotent_request_is_not_retried_after_a_cut() {
+    let manifest = manifest();
+    let mut dispatcher = dispatcher(&manifest);
+    let mut out = Vec::new();
+    let work = Work { idempotent: false, ..look(1, SECOND * 30) };
+    dispatcher.submit(SECOND, work, &mut out).expect("there is room");
+    let (attempt, _) = starts(&out)[0].clone();
+    out.clear();
+    let cut = AttemptEvent::Broken { reason: "connection reset".to_owned() };
+    dispatcher.on_attempt(SECOND, &attempt, cut, &mut out);
+    assert!(starts(&out).is_empty());
+    assert_eq!(failures(&out)[0].work_outcome(), Outcome::Unknown);
+}
+
+#[test]
+fn a_late_answer_is_dropped_and_counted() {
+    let manifest = manifest();
+    let mut dispatcher = dispatcher(&manifest);
+    let mut out = Vec::new();
+    dispatcher.submit(SECOND, look(1, SECOND * 2), &mut out).expect("there is room");
+    let (attempt, _) = starts(&out)[0].clone();
+    out.clear();
+    dispatcher.tick(SECOND * 3, &mut out);
+    assert_eq!(failures(&out)[0].kind, ErrorKind::ExpiredRunning);
+    out.clear();
+    let answer = AttemptEvent::Answered { status: 200, body: Bytes::from_static(b"late") };
+    dispatcher.on_attempt(SECOND * 4, &attempt, answer, &mut out);
+    assert!(out.is_empty(), "{out:?}");
+    assert_eq!(dispatcher.stats().late_events, 1);
+}
+
+#[test]
+fn a_full_queue_refuses_at_once_with_a_time_to_come_back() {
+    let mut manifest = manifest();
+    manifest.limits.queue_length = 3;
+    manifest.plain_services[0].servers.truncate(1);
+    manifest.plain_services[0].servers[0].slots = 1;
+    let mut dispatcher = dispatcher(&manifest);
+    let mut refusals = Vec::new();
+    for id in 1..=10 {
+        refusals.extend(dispatcher.submit(SECOND, look(id, SECOND * 30), &mut Vec::new()).err());
+    }
+    // One slot lets two interactive requests run; three wait.
+    assert_eq!(refusals.len(), 5);
+    for refusal in &refusals {
+        assert_eq!(refusal.kind, ErrorKind::Overloaded);
+        assert_eq!(refusal.work_outcome(), Outcome::NotRun);
+        assert!(refusal.answer().retry_after_ms.is_some_and(|ms| ms > 0));
+    }
+}
+
+#[test]
+fn what_would_wait_past_its_deadline_is_refused_early() {
+    let mut manifest = manifest();
+    manifest.plain_services[0].servers.truncate(1);
+    manifest.plain_services[0].servers[0].slots = 1;
+    let mut dispatcher = dispatcher(&manifest);
+    for id in 1..=40 {
+        dispatcher.submit(SECOND, look(id, SECOND * 30), &mut Vec::new()).expect("there is room");
+    }
+    let refusal = dispatcher
+        .submit(SECOND, look(41, SECOND * 2), &mut Vec::new())
+        .expect_err("the queue is too long for one second");
+    assert_eq!(refusal.kind, ErrorKind::Overloaded);
+    assert!(refusal.retry_after > Some(SECOND));
+}
+
+#[test]
+fn callers_spend_only_their_own_limits() {
+    let manifest = manifest();
+    let mut admission = Admission::default();
+    admission.configure(Now::ZERO, &manifest.callers);
+    let greedy = (0..1000).filter(|_| admission.admit(SECOND, "caller-0").is_ok()).count();
+    assert_eq!(greedy, manifest.callers[0].max_in_flight as usize);
+    assert!(admission.admit(SECOND, "caller-1").is_ok());
+    let unknown = admission.admit(SECOND, "nobody").expect_err("it is not in the manifest");
+    assert_eq!(unknown.kind, ErrorKind::Forbidden);
+}
+
+#[test]
+fn a_changed_manifest_keeps_requests_in_flight_counted() {
+    let mut manifest = manifest();
+    let mut admission = Admission::default();
+    admission.configure(Now::ZERO, &manifest.callers);
+    assert!(admission.admit(SECOND, "caller-0").is_ok());
+    manifest.callers[0].max_in_flight = 1;
+    admission.configure(SECOND, &manifest.callers);
+    assert!(admission.admit(SECOND, "caller-0").is_err());
+    admission.finished("caller-0");
+    assert!(admission.admit(SECOND, "caller-0").is_ok());
+}
+
+#[test]
+fn every_error_kind_has_its_own_name_and_an_honest_status() {
+    let names: BTreeSet<_> = ErrorKind::ALL.iter().map(|kind| kind.rule().name).collect();
+    assert_eq!(names.len(), ErrorKind::ALL.len());
+    let table: Vec<_> = ErrorKind::ALL
+        .iter()
+        .map(|kind| {
+            let rule = kind.rule();
+            let after = rule.retry_after.map_or("never".to_owned(), |d| format!("{d:?}"));
+            format!("{:<18} {} {:<8} {after}", rule.name, rule.status, rule.outcome.to_string())
+        })
+        .collect();
+    insta::assert_snapshot!(table.join("\n"));
+}
--- /dev/null
+++ b/crates/daemon/tests/interface.rs
@@ -0,0 +1,127 @@
+//! The HTTP interface: who may do what, and input that is not valid.
+
+mod support;
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::Duration,
+};
+
+use buckthornfall_client::{entry::refusal, http::Reply};
+use buckthornfall_proto::messages::ErrorAnswer;
+use support::{Cluster, OPERATOR};
+
+const FAST: Duration = Duration::from_micros(500);
+const TRAINER: &str = "token-of-permit-drafts";
+const CALLER: &str = "token-of-clerks";
+
+fn refused(reply: &Reply) -> ErrorAnswer {
+    refusal(reply).unwrap_or_else(|| panic!("{}", String::from_utf8_lossy(&reply.body)))
+}
+
+fn raw(address: &str, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("the daemon listens");
+    stream.write_all(bytes).expect("the daemon reads");
+    stream.shutdown(std::net::Shutdown::Write).expect("the connection stands");
+    let mut answer = Vec::new();
+    // A connection that the daemon closes early is an answer, too.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn each_token_reaches_only_what_it_is_for() {
+    let cluster = Cluster::start("interface-tokens", 1, FAST);
+    let address = cluster.processes[0].listed.address.clone();
+    let post = |token: &str, path: &str, body: &str| {
+        cluster.client(token).post_to(&address, path, body.as_bytes()).expect("an answer")
+    };
+    let kind = |reply: &Reply| refused(reply).kind;
+    let pull = "{\"cursor\":{\"step\":1,\"taken\":[],\"weights_version\":1},\"max_groups\":1}";
+    let path = "/v1/trainers/permit-drafts/pull";
+    assert_eq!(kind(&post("nobody", path, pull)), "unauthorized");
+    assert_eq!(kind(&post(CALLER, path, pull)), "forbidden");
+    assert_eq!(kind(&post("token-of-objection-summaries", path, pull)), "forbidden");
+    assert_eq!(kind(&post(TRAINER, "/v1/completions", "{}")), "forbidden");
+    assert_eq!(kind(&post(CALLER, "/v1/manifest", "{}")), "forbidden");
+    assert_eq!(kind(&post(OPERATOR, "/v1/services/permit-desk/lookup", "x")), "forbidden");
+    assert_eq!(kind(&post(CALLER, "/v1/models/permit-models/weights", "{}")), "forbidden");
+    let status = cluster.client(CALLER).get_from(&address, "/v1/status").expect("an answer");
+    assert_eq!(kind(&status), "forbidden");
+}
+
+#[test]
+fn one_callers_key_is_not_anothers() {
+    let cluster = Cluster::start("interface-keys", 1, FAST);
+    let record = |token: &str, key: &str, body: &str| {
+        let client = cluster.client(token);
+        let path = "/v1/services/permit-desk/record-fee";
+        client.post(path, &[("idempotency-key", key)], body.as_bytes()).expect("an answer")
+    };
+    assert_eq!(record(CALLER, "fee-1", "a").status, 200);
+    let replay = record(CALLER, "fee-1", "a");
+    assert_eq!(replay.status, 200, "the same request again gets the same answer");
+    assert_eq!(refused(&record(CALLER, "fee-1", "b")).kind, "key_reused");
+    assert_eq!(record("token-of-foremen", "fee-1", "b").status, 200);
+    assert_eq!(refused(&record(CALLER, "", "c")).kind, "invalid");
+    assert_eq!(cluster.ledger.runs().values().sum::<u32>(), 2);
+}
+
+#[test]
+fn input_that_is_not_valid_gets_a_clear_error_and_the_daemon_lives() {
+    let cluster = Cluster::start("interface-input", 1, FAST);
+    let address = cluster.processes[0].listed.address.clone();
+    let client = cluster.client(CALLER);
+    let post = |path: &str, body: &[u8]| client.post_to(&address, path, body).expect("an answer");
+    let invalid = [
+        &b"{"[..],
+        b"\xff\xfe",
+        b"[]",
+        b"{\"model\":\"permit-models\",\"prompt\":\"x\",\"max_tokens\":-1}",
+        b"{\"model\":\"permit-models\",\"prompt\":\"x\",\"max_tokens\":0}",
+        b"{\"model\":\"permit-models\",\"prompt\":\"x\",\"max_tokens\":1,\"temperature\":1}",
+    ];
+    for body in invalid {
+        assert_eq!(refused(&post("/v1/completions", body)).kind, "invalid");
+    }
+    let unknown = b"{\"model\":\"no-model\",\"prompt\":\"x\",\"max_tokens\":1}";
+    let answer = refused(&post("/v1/completions", unknown));
+    assert_eq!(answer.kind, "not_found");
+    assert_eq!(answer.message, "model \"no-model\" does not exist in the manifest");
+    assert_eq!(refused(&post("/v1/nothing", b"")).kind, "not_found");
+    assert_eq!(refused(&post("/v1/services/permit-desk/burn", b"")).kind, "not_found");
+    assert_eq!(refused(&post("/v1/completions", &vec![b' '; 5_000_000])).kind, "too_large");
+    let long = "x".repeat(300);
+    let head = format!(
+        "GET /v1/status HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {long}\r\n\
+         connection: close\r\n\r\n"
+    );
+    assert!(raw(&address, head.as_bytes()).contains("too_large"));
+    raw(&address, b"\x00\x01\x02\x03");
+    raw(&address, b"POST /v1/completions HTTP/1.1\r\ncontent-length: 100\r\n\r\nshort");
+    raw(&cluster.processes[0].listed.peer_address.clone(), b"PRI * HTTP/2.0\r\n\r\nXX\r\n\r\n");
+    raw(&cluster.processes[0].listed.peer_address.clone(), &[0xff; 512]);
+    assert_eq!(post("/v1/services/permit-desk/lookup", b"permit 7").status, 200);
+}
+
+#[test]
+fn operators_that_race_get_one_winner_and_both_revisions() {
+    let cluster = Cluster::start("interface-commit", 1, FAST);
+    let address = cluster.processes[0].listed.address.clone();
+    let client = cluster.client(OPERATOR);
+    let commit = |base: u64, queue: u32| {
+        let mut manifest = cluster.manifest.clone();
+        manifest.limits.queue_length = queue;
+        let body = serde_json::json!({ "base_revision": base, "manifest": manifest }).to_string();
+        client.post_to(&address, "/v1/manifest", body.as_bytes()).expect("an answer")
+    };
+    assert_eq!(commit(1, 100).status, 200);
+    let conflict = refused(&commit(1, 200));
+    assert_eq!(conflict.kind, "conflict");
+    assert!(conflict.message.contains("made for revision 1, and revision 2 is committed"));
+    let invalid = refused(&commit(2, 0));
+    assert_eq!(invalid.kind, "invalid");
+    assert!(invalid.message.contains("/limits/queue_length"), "{}", invalid.message);
+    assert_eq!(commit(2, 200).status, 200);
+}
--- /dev/null
+++ b/crates/proto/tests/codec.rs
@@ -0,0 +1,102 @@
+//! The codec of messages between daemons: round trips, and input that is not a message.
+
+use buckthornfall_proto::{
+    codec::{decode, encode, MAX_MESSAGE_BYTES},
+    hot::{MemberEntry, TokenSpan},
+    messages::{Gossip, LeaseHint, ManifestPull, ManifestPush, PeerMessage},
+};
+use proptest::prelude::*;
+
+fn member() -> impl Strategy<Value = MemberEntry> {
+    ("[a-z0-9-]{1,20}", any::<u64>(), any::<u32>(), any::<bool>())
+        .prop_map(|(host, version, age_s, leaving)| MemberEntry { host, version, age_s, leaving })
+}
+
+fn lease() -> impl Strategy<Value = LeaseHint> {
+    (".{0,20}", ".{0,20}", any::<u64>()).prop_map(|(role, holder, fence)| LeaseHint {
+        role,
+        holder,
+        fence,
+    })
+}
+
+fn gossip() -> impl Strategy<Value = PeerMessage> {
+    (
+        ".{0,20}",
+        any::<u64>(),
+        prop::collection::vec(member(), 0..60),
+        prop::collection::vec(".{0,20}", 0..5),
+        prop::collection::vec(any::<u64>(), 0..9),
+        prop::collection::vec(lease(), 0..5),
+    )
+        .prop_map(|(from, revision, members, leaving_servers, quarantined, leases)| {
+            let suspects = quarantined.clone();
+            PeerMessage::Gossip(Gossip {
+                from,
+                revision,
+                members,
+                leaving_servers,
+                quarantined,
+                suspects,
+                leases,
+            })
+        })
+}
+
+fn message() -> impl Strategy<Value = PeerMessage> {
+    let pull = (".{0,20}", any::<u64>())
+        .prop_map(|(from, above)| PeerMessage::ManifestPull(ManifestPull { from, above }));
+    let push = (any::<u64>(), any::<u64>(), ".{0,200}").prop_map(|(revision, base, content)| {
+        let (from, hash) = ("entry-1".to_owned(), "hash".to_owned());
+        PeerMessage::ManifestPush(ManifestPush { from, revision, hash, base, content })
+    });
+    prop_oneof![gossip(), pull, push]
+}
+
+proptest! {
+    #[test]
+    fn every_message_comes_back(message in message()) {
+        let bytes = encode(&message).expect("it fits");
+        prop_assert_eq!(decode::<PeerMessage>(&bytes).expect("it is whole"), message);
+    }
+
+    #[test]
+    fn a_truncated_message_is_an_error(message in message(), cut in any::<prop::sample::Index>()) {
+        let bytes = encode(&message).expect("it fits");
+        let end = cut.index(bytes.len());
+        prop_assert!(decode::<PeerMessage>(&bytes[..end]).is_err());
+    }
+
+    #[test]
+    fn bytes_too_many_are_an_error(message in message(), more in 1usize..9) {
+        let mut bytes = encode(&message).expect("it fits");
+        bytes.extend(std::iter::repeat_n(0, more));
+        prop_assert!(decode::<PeerMessage>(&bytes).is_err());
+    }
+
+    #[test]
+    fn any_bytes_are_a_message_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = decode::<PeerMessage>(&bytes);
+    }
+
+    #[test]
+    fn any_text_is_a_manifest_or_an_error(text in ".{0,200}") {
+        prop_assert!(buckthornfall_proto::check::manifest(&text).is_err());
+    }
+
+    #[test]
+    fn spans_are_never_empty(start in any::<u32>(), end in any::<u32>(), version in any::<u64>()) {
+        let text = format!("[{start},{end},{version}]");
+        let span = serde_json::from_str::<TokenSpan>(&text);
+        prop_assert_eq!(span.is_ok(), start < end);
+    }
+}
+
+#[test]
+fn a_length_beyond_the_bound_is_an_error() {
+    // Variant 0, then a string that says it is longer than any message.
+    let mut bytes = vec![0, 253];
+    bytes.extend((MAX_MESSAGE_BYTES as u64 * 8).to_le_bytes());
+    let error = decode::<PeerMessage>(&bytes).expect_err("it is too long");
+    assert!(error.to_string().contains("cannot decode a peer message of 10 bytes"), "{error}");
+}
