--- a/crates/cli/src/admin.rs
+++ b/crates/cli/src/admin.rs
@@ -169,7 +169,12 @@
     Err(last)
 }
 
-fn get_first<T: DeserializeOwned>(client: &Client, daemons: &[String], path: &str) -> Result<T> {
+/// Gets a document of the first daemon that answers.
+pub fn get_first<T: DeserializeOwned>(
+    client: &Client,
+    daemons: &[String],
+    path: &str,
+) -> Result<T> {
     let mut last = Error::NoDaemon;
     for daemon in daemons {
         match client.get_from(daemon, path) {
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -25,6 +25,7 @@
         .subcommand(Command::new("entry").about("Ask which daemons to use"))
         .subcommand(request())
         .subcommand(submit())
+        .subcommand(report())
         .subcommand(demo())
 }
 
@@ -162,6 +163,36 @@
         )
 }
 
+fn report() -> Command {
+    let burn = Command::new("burn")
+        .about("Show how fast the error budgets of the service levels are used up")
+        .long_about(
+            "Show how fast the error budgets of the service levels are used up.\n\nThe counts of \
+             all daemons are added up over five minutes, one hour and six hours. A burn rate of \
+             1.0 uses the budget up just at the promised rate. Daemons that do not answer are \
+             named.",
+        )
+        .arg(
+            Arg::new("html")
+                .long("html")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Also write the report with plots as one HTML page"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Also write the report as a JSON document"),
+        );
+    Command::new("report")
+        .about("Reports for operators")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(burn)
+}
+
 fn demo() -> Command {
     Command::new("demo")
         .about("Run the whole system with stand-ins in this process and check every promise")
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -31,6 +31,9 @@
     /// The system refused.
     #[snafu(display("refused ({}, the work: {}): {}{}", answer.kind, answer.outcome, answer.message, hint(answer)))]
     Refused { answer: Box<ErrorAnswer> },
+    /// A report cannot be written.
+    #[snafu(display("cannot write {}: {reason}", path.display()))]
+    Write { path: PathBuf, reason: String },
     /// A stand-in or a daemon of the demo could not start.
     #[snafu(display("the demo cannot start: {message}"))]
     DemoStart { message: String },
@@ -65,7 +68,7 @@
             Error::Refused { answer } if answer.kind == "conflict" => EXIT_CONFLICT,
             Error::Refused { .. } => EXIT_REFUSED,
             Error::PromiseBroken { .. } => EXIT_BROKEN,
-            Error::Http { .. } | Error::DemoStart { .. } => EXIT_FAILURE,
+            Error::Http { .. } | Error::Write { .. } | Error::DemoStart { .. } => EXIT_FAILURE,
         }
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,8 +5,10 @@
 mod cli;
 mod demo;
 mod error;
+mod export;
 mod options;
 mod output;
+mod report;
 
 use std::process::ExitCode;
 
@@ -33,6 +35,7 @@
         Some(("entry", _)) => caller::entry(&options),
         Some(("request", sub)) => caller::request(&options, sub),
         Some(("submit", sub)) => caller::submit(&options, sub),
+        Some(("report", sub)) => report::run(&options, sub),
         Some(("demo", sub)) => demo::run(&options, sub),
         _ => unreachable!("clap requires a known subcommand"),
     }
--- a/crates/core/src/burn.rs
+++ b/crates/core/src/burn.rs
@@ -7,7 +7,7 @@
 
 use buckthornfall_proto::{
     manifest::{Indicator, ServiceLevel},
-    messages::{BurnCount, BurnWindow},
+    messages::{BurnCount, BurnTarget, BurnWindow},
 };
 
 use crate::Now;
@@ -74,6 +74,15 @@
         }
     }
 
+    /// Targets of the service levels.
+    pub fn targets(&self) -> Vec<BurnTarget> {
+        let target = |level: &ServiceLevel| BurnTarget {
+            indicator: level.indicator.to_string(),
+            target_per_mille: level.target_per_mille,
+        };
+        self.levels.iter().map(target).collect()
+    }
+
     /// Counts of each window up to `now`.
     pub fn windows(&self, now: Now) -> Vec<BurnWindow> {
         WINDOWS.iter().map(|window| self.window(now, *window)).collect()
--- a/crates/core/src/step.rs
+++ b/crates/core/src/step.rs
@@ -420,12 +420,13 @@
         self.works.remove(&work);
         let bound = self.trainer.staleness_bound;
         let trainer_version = self.trainer_version;
+        let resume = self.policy.resume;
         let quarantined = refusal.kind == ErrorKind::Quarantined;
         let mut wasted = 0;
         if let Some(slot) = self.slot_mut(id) {
             slot.runs.retain(|run| run.work != work);
             let fresh = progress.oldest_version().is_some_and(|v| v + bound >= trainer_version);
-            if fresh && !quarantined && progress.tokens > slot.partial.tokens {
+            if fresh && resume && !quarantined && progress.tokens > slot.partial.tokens {
                 wasted = u64::from(slot.partial.tokens);
                 slot.partial = progress;
             } else {
--- a/crates/core/src/step/policy.rs
+++ b/crates/core/src/step/policy.rs
@@ -19,6 +19,8 @@
     pub deadline: Duration,
     /// A run below this share of the median token rate gets a second run, in percent; 0 for none.
     pub hedge_below_percent: u32,
+    /// Whether a run goes on from the tokens of one that failed.
+    pub resume: bool,
     /// Tokens of second runs as a share of the useful tokens, in per mille.
     pub hedge_budget_per_mille: u64,
 }
@@ -37,6 +39,7 @@
             start_bound: trainer.staleness_bound * share / 100,
             deadline: Duration::from_millis(trainer.step_deadline_ms),
             hedge_below_percent: HEDGE_BELOW_PERCENT,
+            resume: true,
             hedge_budget_per_mille: HEDGE_BUDGET_PER_MILLE,
         }
     }
--- a/crates/daemon/src/actors/node.rs
+++ b/crates/daemon/src/actors/node.rs
@@ -399,6 +399,7 @@
                 host: self.identity.place.host.clone(),
                 revision: self.revision,
                 windows: self.burn.windows(self.now(cx.now())),
+                targets: self.burn.targets(),
             }),
             _ => reply.refuse(&Refusal::new(ErrorKind::Forbidden, "not for this token")),
         }
--- a/crates/daemon/src/actors/requests.rs
+++ b/crates/daemon/src/actors/requests.rs
@@ -36,6 +36,8 @@
     reply::Reply,
 };
 
+/// Lowest HTTP status of a refusal that is not the caller's fault.
+const FIRST_SERVER_STATUS: u16 = 500;
 /// Bytes of a prompt that decide which servers hold its start.
 const PREFIX_BYTES: usize = 256;
 
@@ -438,7 +440,10 @@
         let kind = refusal.kind.rule().name;
         info!(kind, reason = refusal.message.as_str(); "request_refused");
         metrics::counter!("refusals_total", "kind" => kind).increment(1);
-        self.count_refusal(false);
+        // A request that the caller got wrong says nothing of the service.
+        if refusal.status() >= FIRST_SERVER_STATUS {
+            self.count_refusal(false);
+        }
         reply.refuse(refusal);
     }
 
