Choose servers by learned speed

Cause: one engine in eight is 2.5 times slower, and the choice did not see it. The speed of each server is learned from its tokens; the cost is the expected time.

--- a/crates/core/src/dispatch/attempt.rs
+++ b/crates/core/src/dispatch/attempt.rs
@@ -88,9 +88,18 @@
         out: &mut Vec<DispatchAction>,
     ) {
         let Some(state) = self.works.get_mut(&id) else { return };
-        let Stage::Running { server, progress_at, .. } = &mut state.stage else { return };
+        let Stage::Running { server, progress_at, started, .. } = &mut state.stage else {
+            return;
+        };
+        let elapsed = now.saturating_sub(*progress_at);
+        let is_first = *progress_at == *started;
         *progress_at = now;
         let server = server.clone();
+        // The first tokens come after the prompt was read.
+        if !is_first {
+            self.fleet.on_tokens(&server, tokens, elapsed);
+        }
+        let Some(state) = self.works.get_mut(&id) else { return };
         state.progress.add(&text, tokens, version);
         let remote = self.fleet.get(&server).is_some_and(|s| s.distance == Distance::Remote);
         if remote {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -62,6 +62,9 @@
     pub report: Option<Report>,
     /// The attempt that the server is kept free for.
     pub isolated_for: Option<AttemptId>,
+    /// Tokens a second of one request on the server if it were empty, as learned from answers;
+    /// `None` before the first tokens.
+    speed: Option<f64>,
     /// No new work before this time, after a failure.
     down_until: Now,
     /// Failures in a row; each doubles the next wait.
@@ -72,6 +75,8 @@
 
 /// Longest age of a report by which a server is given new work.
 pub const REPORT_VALID: Duration = Duration::from_secs(10);
+/// Weight of the newest tokens in the speed of a server.
+const SPEED_WEIGHT: f64 = 0.02;
 const BACKOFF_FIRST: Duration = Duration::from_millis(500);
 const BACKOFF_DOUBLINGS: u32 = 5;
 
@@ -119,6 +124,11 @@
         f64::from(self.load()) / f64::from(self.info.slots.max(1))
     }
 
+    /// Tokens a second of one request on the empty server, if tokens came from it yet.
+    pub fn speed(&self) -> Option<f64> {
+        self.speed
+    }
+
     /// One word for the state, for people.
     pub fn describe(&self, now: Now) -> &'static str {
         match &self.report {
@@ -244,6 +254,19 @@
         }
     }
 
+    /// Learns from tokens that came `elapsed` after the ones before; a batch that fills up makes
+    /// each request slower, up to twice as slow.
+    pub fn on_tokens(&mut self, server: &str, tokens: u32, elapsed: Duration) {
+        let Some(state) = self.servers.get_mut(server) else { return };
+        if elapsed.is_zero() {
+            return;
+        }
+        let fill = state.load_ratio().min(1.0);
+        let speed = f64::from(tokens) / elapsed.as_secs_f64() * (1.0 + fill);
+        let known = state.speed.unwrap_or(speed);
+        state.speed = Some(known + SPEED_WEIGHT * (speed - known));
+    }
+
     /// Sets or lifts the isolation of a server.
     pub fn isolate(&mut self, server: &str, attempt: Option<AttemptId>) {
         if let Some(state) = self.servers.get_mut(server) {
@@ -348,6 +371,7 @@
         in_flight: 0,
         report: None,
         isolated_for: None,
+        speed: None,
         down_until: Now::ZERO,
         failures: 0,
         leaving: false,
--- a/crates/core/src/pick.rs
+++ b/crates/core/src/pick.rs
@@ -17,7 +17,8 @@
     fn pick(&mut self, candidates: &[Candidate<'_>], prefix: u64) -> Option<ServerId>;
 }
 
-/// Nearest zone first, then the servers that hold the prompt's prefix, then the least loaded.
+/// Shortest expected time: load and speed of the server, its distance, and whether it holds the
+/// prompt's prefix.
 #[derive(Debug, Default, Clone)]
 pub struct LocalityPick;
 
@@ -27,6 +28,8 @@
 const REMOTE_COST: f64 = 0.9;
 /// Gain of a server that holds the prompt's prefix, as a share of a full server.
 const PREFIX_GAIN: f64 = 0.25;
+/// Greatest slowness that counts; a server that is slower still is only as bad.
+const SLOWEST: f64 = 4.0;
 /// Servers that a prefix is spread over.
 const PREFIX_SERVERS: usize = 2;
 
@@ -43,9 +46,16 @@
             }
         }
         let holds_from = highest[PREFIX_SERVERS - 1];
+        let speeds = candidates.iter().filter_map(|c| c.server.speed());
+        let fastest = speeds.fold(0.0, f64::max);
+        let slowness = |c: &Candidate<'_>| match c.server.speed() {
+            Some(speed) if speed > 0.0 => (fastest / speed).min(SLOWEST),
+            _ => 1.0,
+        };
         let cost = |c: &Candidate<'_>| {
             let gain = if rank(c) >= holds_from { PREFIX_GAIN } else { 0.0 };
-            c.server.load_ratio() + distance_cost(c.server.distance) - gain
+            let time = (1.0 + c.server.load_ratio()) * slowness(c);
+            time + distance_cost(c.server.distance) - gain
         };
         let best = candidates.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         Some(best.server.info.name.clone())
