--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -498,7 +498,7 @@
                 }
             }
             WorkEvent::Failed { .. } => self.measures.refused += 1,
-            WorkEvent::Tokens { .. } | WorkEvent::Answered { .. } => {}
+            WorkEvent::Started { .. } | WorkEvent::Tokens { .. } | WorkEvent::Answered { .. } => {}
         }
     }
 
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -407,6 +407,8 @@
         });
         self.attempts.insert(attempt, id);
         self.fleet.started(&server);
+        let event = WorkEvent::Started { server };
+        out.push(DispatchAction::Emit { work: id, event });
         if remote {
             self.charge_link(now, bytes);
         }
--- a/crates/core/src/dispatch/work.rs
+++ b/crates/core/src/dispatch/work.rs
@@ -181,6 +181,11 @@
 /// What an owner learns of its work.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WorkEvent {
+    /// An attempt started on a server.
+    Started {
+        /// The server.
+        server: ServerId,
+    },
     /// More tokens.
     Tokens {
         /// Their text.
--- a/crates/core/src/step.rs
+++ b/crates/core/src/step.rs
@@ -12,7 +12,7 @@
 
 use buckthornfall_proto::{
     digest::fingerprint,
-    ids::{AttemptId, GroupIndex, StepNumber, WeightVersion},
+    ids::{AttemptId, GroupIndex, ServerId, StepNumber, WeightVersion},
     manifest::{Objective, Trainer},
     messages::{
         Cursor, GroupResult, GroupSpec, PullAnswer, PullRequest, Sample, ScoreAnswer, ScoreRequest,
@@ -231,8 +231,9 @@
             return;
         };
         match event {
-            WorkEvent::Tokens { tokens, version, .. } => {
-                self.on_tokens(now, id, work, tokens, version)
+            WorkEvent::Started { server } => self.on_started(id, work, server),
+            WorkEvent::Tokens { text, tokens, version } => {
+                self.on_tokens(now, id, work, &text, tokens, version);
             }
             WorkEvent::Finished { progress } => self.on_generated(now, id, work, progress, out),
             WorkEvent::Answered { status, body } => {
@@ -333,17 +334,26 @@
         self.start_due(now, out);
     }
 
+    fn on_started(&mut self, id: SlotId, work: WorkId, server: ServerId) {
+        let Some(slot) = self.slot_mut(id) else { return };
+        if let Some(run) = slot.runs.iter_mut().find(|run| run.work == work) {
+            run.server = Some(server);
+        }
+    }
+
     fn on_tokens(
         &mut self,
         now: Now,
         id: SlotId,
         work: WorkId,
+        text: &[u8],
         tokens: u32,
         version: WeightVersion,
     ) {
         let Some(slot) = self.slot_mut(id) else { return };
         let Some(run) = slot.runs.iter_mut().find(|run| run.work == work) else { return };
         run.tokens += tokens;
+        run.progress.add(text, tokens, version);
         run.oldest = Some(run.oldest.map_or(version, |oldest| oldest.min(version)));
         run.first_token.get_or_insert(now);
     }
@@ -493,6 +503,7 @@
         let (service, adapter) = (self.trainer.model.clone(), self.trainer.adapter.clone());
         let bound = self.trainer.staleness_bound;
         let trainer_version = self.trainer_version;
+        let resumes = self.policy.resume;
         let Some(group) = self.group_mut(id) else { return };
         let spec = group.spec.clone();
         let slot = &mut group.slots[id.index as usize];
@@ -501,10 +512,13 @@
             self.stats.wasted_tokens += u64::from(old.tokens);
         }
         let slot = &mut self.group_mut(id).expect("the group is open").slots[id.index as usize];
-        let resume = slot.partial.clone();
+        let resume = match &hedge {
+            Some(hedge) if resumes => hedge.progress.clone(),
+            _ => slot.partial.clone(),
+        };
         let seed = slot_seed(id, slot.restarts);
         let is_hedge = hedge.is_some();
-        slot.runs.push(Run::generating(work, now, is_hedge));
+        slot.runs.push(Run { progress: resume.clone(), ..Run::generating(work, now, is_hedge) });
         self.stats.resumes += u64::from(resume.tokens > 0);
         self.stats.hedges += u64::from(is_hedge);
         out.push(StepAction::Submit(Work {
--- a/crates/core/src/step/group.rs
+++ b/crates/core/src/step/group.rs
@@ -18,6 +18,8 @@
 pub(super) struct Hedge {
     /// Server of the first run.
     pub(super) avoid: Option<ServerId>,
+    /// What the first run has produced.
+    pub(super) progress: Progress,
 }
 
 /// One run of a slot: a generation or a scoring.
@@ -25,6 +27,10 @@
 pub(super) struct Run {
     pub(super) work: WorkId,
     pub(super) started: Now,
+    /// Server of the newest attempt.
+    pub(super) server: Option<ServerId>,
+    /// Tokens so far, those that the run went on from included.
+    pub(super) progress: Progress,
     pub(super) first_token: Option<Now>,
     /// Tokens that this run produced.
     pub(super) tokens: u32,
@@ -39,6 +45,8 @@
         Run {
             work,
             started: now,
+            server: None,
+            progress: Progress::default(),
             first_token: None,
             tokens: 0,
             oldest: None,
--- a/crates/core/src/step/policy.rs
+++ b/crates/core/src/step/policy.rs
@@ -83,7 +83,9 @@
             return;
         }
         for id in self.slow_slots(now).into_iter().take(idle_slots) {
-            self.start_run(now, id, Some(Hedge { avoid: None }), out);
+            let Some(run) = self.slot_mut(id).and_then(|slot| slot.runs.first()) else { continue };
+            let hedge = Hedge { avoid: run.server.clone(), progress: run.progress.clone() };
+            self.start_run(now, id, Some(hedge), out);
         }
     }
 
--- a/crates/core/tests/matrix/glue.rs
+++ b/crates/core/tests/matrix/glue.rs
@@ -685,7 +685,7 @@
             return self.apply_steps(host, out);
         }
         match event {
-            WorkEvent::Tokens { .. } => {}
+            WorkEvent::Started { .. } | WorkEvent::Tokens { .. } => {}
             WorkEvent::Finished { progress } => {
                 let text = progress.text.freeze();
                 self.answer(host, work, Answer::Text { text, tokens: progress.tokens });
--- a/crates/daemon/src/actors/requests.rs
+++ b/crates/daemon/src/actors/requests.rs
@@ -326,6 +326,7 @@
 
     fn on_work(&mut self, cx: CX![], (id, event): WorkNews) {
         match event {
+            WorkEvent::Started { .. } => {}
             WorkEvent::Tokens { text, tokens, version } => {
                 self.on_tokens(cx, id, &text, tokens, version);
             }
--- a/crates/daemon/src/actors/serving.rs
+++ b/crates/daemon/src/actors/serving.rs
@@ -301,7 +301,7 @@
     }
 
     fn emit(&mut self, work: WorkId, event: WorkEvent) {
-        let is_last = !matches!(event, WorkEvent::Tokens { .. });
+        let is_last = !matches!(event, WorkEvent::Started { .. } | WorkEvent::Tokens { .. });
         if let WorkEvent::Failed { refusal, .. } = &event {
             let kind = refusal.kind.rule().name;
             warn!(work, kind, reason = refusal.message.as_str(); "work_failed");
