--- a/crates/core/src/step.rs
+++ b/crates/core/src/step.rs
@@ -59,6 +59,8 @@
     pub wasted_tokens: u64,
     /// Second runs of stragglers.
     pub hedges: u64,
+    /// Tokens among the wasted ones that a run lost to a faster one.
+    pub hedge_wasted_tokens: u64,
     /// Runs that went on from the tokens of an earlier one.
     pub resumes: u64,
     /// Answers for runs that had ended already.
@@ -451,8 +453,17 @@
 
     fn cancel_other_runs(&mut self, id: SlotId, winner: WorkId, out: &mut Vec<StepAction>) -> u64 {
         let Some(slot) = self.slot_mut(id) else { return 0 };
-        let others: Vec<_> = slot.runs.drain(..).filter(|run| run.work != winner).collect();
-        let spent = others.iter().map(|run| u64::from(run.tokens)).sum();
+        let (won, others): (Vec<_>, Vec<_>) =
+            slot.runs.drain(..).partition(|run| run.work == winner);
+        // What a second run went on from is not wasted.
+        let used = won.first().filter(|run| run.hedge).map_or(0, Run::resumed_tokens);
+        let wasted = |run: &Run| u64::from(run.progress.tokens.saturating_sub(used));
+        let spent = if won.first().is_some_and(|run| run.hedge) {
+            others.iter().map(wasted).sum()
+        } else {
+            others.iter().map(|run| u64::from(run.tokens)).sum()
+        };
+        self.stats.hedge_wasted_tokens += spent;
         for run in others {
             self.works.remove(&run.work);
             out.push(StepAction::Cancel(run.work));
--- a/crates/core/src/step/group.rs
+++ b/crates/core/src/step/group.rs
@@ -59,6 +59,11 @@
         Run { scoring: true, ..Run::generating(work, now, false) }
     }
 
+    /// Tokens of an earlier run that this one went on from.
+    pub(super) fn resumed_tokens(&self) -> u32 {
+        self.progress.tokens - self.tokens
+    }
+
     /// Tokens a second since the first one.
     pub(super) fn rate(&self, now: Now) -> Option<f64> {
         let elapsed = now.saturating_sub(self.first_token?).as_secs_f64();
--- a/crates/core/src/step/policy.rs
+++ b/crates/core/src/step/policy.rs
@@ -77,7 +77,9 @@
         if idle_slots == 0 || self.policy.hedge_below_percent == 0 {
             return;
         }
-        let spent = self.stats.hedges * self.mean_tokens();
+        let running =
+            self.slots().flat_map(|(_, slot)| &slot.runs).filter(|run| run.hedge).count() as u64;
+        let spent = self.stats.hedge_wasted_tokens + running * self.mean_tokens();
         let budget = self.stats.useful_tokens * self.policy.hedge_budget_per_mille / 1000;
         if spent > budget {
             return;
