--- a/crates/core/benches/request_path.rs
+++ b/crates/core/benches/request_path.rs
@@ -1,1 +1,165 @@
-fn main() {}
+//! Speed of the request path: `cargo bench --bench request_path`.
+
+#![allow(missing_docs, reason = "the macro of criterion makes a public function without docs")]
+
+#[path = "../tests/support/sizes.rs"]
+mod sizes;
+
+use std::{hint::black_box, time::Duration};
+
+use buckthornfall_core::{
+    admission::Admission,
+    auth::Tokens,
+    dispatch::{AttemptEvent, Class, DispatchAction, Dispatcher, Progress, Task, Work},
+    entry,
+    fleet::Place,
+    membership::PeerView,
+    pick::LocalityPick,
+    Now,
+};
+use buckthornfall_proto::{
+    check,
+    codec::{decode, encode},
+    hot::MemberEntry,
+    manifest::Manifest,
+    messages::{EngineState, Gossip, PeerMessage},
+};
+use bytes::Bytes;
+use criterion::{criterion_group, criterion_main, Criterion};
+
+const SERVERS: usize = 2500;
+const DAEMONS: usize = 400;
+
+fn manifest() -> Manifest {
+    check::manifest_value(sizes::manifest(SERVERS, 8, 0)).expect("it is valid")
+}
+
+fn host(index: usize) -> String {
+    format!("entry-{index}")
+}
+
+fn dispatcher(manifest: &Manifest) -> Dispatcher<LocalityPick> {
+    let place = Place { host: host(0), zone: "zone-0".into(), region: "region-0".into() };
+    let mut dispatcher = Dispatcher::new(place, 1, LocalityPick);
+    let daemons: Vec<_> = (0..DAEMONS).map(host).collect();
+    dispatcher.configure(Now::ZERO, manifest, &daemons, &mut Vec::new());
+    let names: Vec<_> = dispatcher.fleet().iter().map(|s| s.info.name.clone()).collect();
+    let state = EngineState {
+        model: "model".to_owned(),
+        tracks: Vec::new(),
+        slots: 128,
+        running: 0,
+        queued: 0,
+        draining: false,
+        incarnation: 1,
+    };
+    for name in names {
+        dispatcher.on_report(Now::ZERO, &name, state.clone(), &mut Vec::new());
+    }
+    dispatcher
+}
+
+fn work(id: u64) -> Work {
+    Work {
+        id,
+        service: "model".to_owned(),
+        class: Class::Interactive,
+        task: Task::Generate {
+            prompt: Bytes::from_static(b"a prompt"),
+            adapter: None,
+            max_tokens: 64,
+            min_version: 0,
+            seed: id,
+        },
+        idempotent: true,
+        fingerprint: id,
+        prefix: id % 64,
+        deadline: Duration::from_secs(30),
+        rank: id,
+        avoid: None,
+        resume: Progress::default(),
+    }
+}
+
+fn route(c: &mut Criterion) {
+    let manifest = manifest();
+    let mut dispatcher = dispatcher(&manifest);
+    let mut id = 0;
+    c.bench_function("route and finish one request, 2,500 servers", |b| {
+        b.iter(|| {
+            id += 1;
+            let mut out = Vec::new();
+            dispatcher.submit(Now::ZERO, work(id), &mut out).expect("there is room");
+            let attempt = out.iter().find_map(|action| match action {
+                DispatchAction::Start { attempt, .. } => Some(attempt.clone()),
+                _ => None,
+            });
+            let attempt = attempt.expect("it starts at once");
+            dispatcher.on_attempt(Now::ZERO, &attempt, AttemptEvent::Finished, &mut out);
+            black_box(out)
+        });
+    });
+}
+
+fn admit(c: &mut Criterion) {
+    let manifest = manifest();
+    let tokens = Tokens::new(&manifest);
+    let mut admission = Admission::default();
+    admission.configure(Now::ZERO, &manifest.callers);
+    let mut millis = 0;
+    c.bench_function("find the principal of a token and admit its request", |b| {
+        b.iter(|| {
+            millis += 20;
+            let principal = black_box(tokens.principal("a token"));
+            let admitted = admission.admit(Duration::from_millis(millis), "caller-0");
+            admission.finished("caller-0");
+            (principal.is_some(), admitted.is_ok())
+        });
+    });
+}
+
+fn entry_answer(c: &mut Criterion) {
+    let peer = |i: usize| PeerView {
+        host: host(i),
+        zone: format!("zone-{}", i % 11),
+        region: format!("region-{}", i % 11 % 3),
+        address: format!("10.1.{}.{}:8000", i / 250, i % 250),
+        peer_address: String::new(),
+        alive: true,
+        leaving: false,
+    };
+    let peers: Vec<_> = (0..DAEMONS).map(peer).collect();
+    let mut spread = 0;
+    c.bench_function("entry answer, 400 daemons", |b| {
+        b.iter(|| {
+            spread += 1;
+            entry::answer(black_box(&peers), "zone-3", "region-0", spread, 5000)
+        });
+    });
+}
+
+fn codec(c: &mut Criterion) {
+    let member = |i: usize| MemberEntry {
+        host: host(i),
+        version: 1_796_000_000 + i as u64,
+        age_s: 3,
+        leaving: false,
+    };
+    let message = PeerMessage::Gossip(Gossip {
+        from: host(0),
+        revision: 7,
+        members: (0..56).map(member).collect(),
+        leaving_servers: Vec::new(),
+        quarantined: Vec::new(),
+        suspects: Vec::new(),
+        leases: Vec::new(),
+    });
+    let bytes = encode(&message).expect("it fits");
+    c.bench_function("encode a round of gossip", |b| b.iter(|| encode(black_box(&message))));
+    c.bench_function("decode a round of gossip", |b| {
+        b.iter(|| decode::<PeerMessage>(black_box(&bytes)));
+    });
+}
+
+criterion_group!(benches, route, admit, entry_answer, codec);
+criterion_main!(benches);
--- a/crates/core/tests/capacity.rs
+++ b/crates/core/tests/capacity.rs
@@ -103,7 +103,7 @@
 #[test]
 fn a_dead_zone_is_seen_everywhere_in_time() {
     let mut net = settled(LOSS_PER_MILLE);
-    let dead = |index: &usize| index % ZONES == 0;
+    let dead = |index: &usize| index.is_multiple_of(ZONES);
     net.kill((0..DAEMONS).filter(dead));
     let from = net.now;
     net.run(from + DEAD_SEEN_WITHIN);
--- a/crates/core/tests/support/sizes.rs
+++ b/crates/core/tests/support/sizes.rs
@@ -14,7 +14,7 @@
         .collect();
     let server = |i: usize, kind: &str, port: usize| {
         json!({ "name": format!("{kind}-{i}"), "address": format!("10.0.{}.{}:{port}", i / 250, i % 250),
-            "zone": format!("zone-{}", i % 11), "slots": 128, "checks_fence": i % 3 != 0 })
+            "zone": format!("zone-{}", i % 11), "slots": 128, "checks_fence": !i.is_multiple_of(3) })
     };
     let adapters: Vec<_> = (0..trainers).map(|i| format!("adapter-{i}")).collect();
     let trainer = |i: usize| {
@@ -52,6 +52,7 @@
 }
 
 /// A whole manifest as another daemon sends it.
+#[allow(dead_code, reason = "each target that includes this file uses a part of it")]
 pub fn push(revision: u64, value: &Value) -> ManifestPush {
     let content = serde_json::to_string_pretty(value).expect("plain data");
     ManifestPush {
--- a/crates/daemon/tests/interface.rs
+++ b/crates/daemon/tests/interface.rs
@@ -1,5 +1,6 @@
 //! The HTTP interface: who may do what, and input that is not valid.
 
+#[allow(dead_code, reason = "each target that includes this file uses a part of it")]
 mod support;
 
 use std::{
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -1,5 +1,6 @@
 //! Daemon processes that are killed or stopped in the middle of requests and steps.
 
+#[allow(dead_code, reason = "each target that includes this file uses a part of it")]
 mod support;
 
 use std::{
