--- /dev/null
+++ b/crates/cli/src/bench.rs
@@ -0,0 +1,196 @@
+//! Benches for people: policies in virtual time, and a load through one daemon.
+
+use std::{
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use buckthornfall_bench::{compare, Comparison, Scenario};
+use buckthornfall_client::http::{Http, HttpOptions};
+use buckthornfall_proto::messages::{CallerCompletion, CompletionChunk, CompletionRequest};
+use buckthornfall_standins::engine::Latency;
+use clap::ArgMatches;
+use serde::Serialize;
+
+use crate::{
+    demo::{self, deployment::Deployment, DemoOptions},
+    error::Result,
+    options::Options,
+    output,
+};
+
+/// Time of one token on the engines of the load bench: as fast as the stand-ins go.
+const TOKEN: Duration = Duration::ZERO;
+const MAX_TOKENS: u32 = 128;
+const AUTHORIZATION: (&str, &str) = ("authorization", "Bearer token-of-clerks");
+
+/// Runs a bench.
+pub fn run(options: &Options, matches: &ArgMatches) -> Result<()> {
+    match matches.subcommand() {
+        Some(("load", sub)) => load(options, sub),
+        _ => policy(options),
+    }
+}
+
+fn policy(options: &Options) -> Result<()> {
+    for scenario in Scenario::all() {
+        output::result(options.format, &compare(&scenario), Comparison::describe);
+    }
+    Ok(())
+}
+
+/// One load.
+#[derive(Debug, Serialize)]
+struct LoadResult {
+    answered: u64,
+    failed: u64,
+    seconds: f64,
+    requests_per_s: f64,
+    tokens_per_s: f64,
+}
+
+/// Both loads.
+#[derive(Debug, Serialize)]
+struct LoadReport {
+    through_daemon: LoadResult,
+    direct: LoadResult,
+}
+
+fn load(options: &Options, matches: &ArgMatches) -> Result<()> {
+    let requests = *matches.get_one::<u64>("requests").expect("it has a default");
+    let callers = *matches.get_one::<u64>("callers").expect("it has a default");
+    let demo = DemoOptions { token: TOKEN, latency: Latency::default(), ..DemoOptions::default() };
+    let mut deployment = Deployment::start(demo::GEDEL, &demo)?;
+    for caller in &mut deployment.manifest.callers {
+        caller.requests_per_s = u32::MAX;
+        caller.burst = u32::MAX;
+        caller.max_in_flight = u32::MAX;
+    }
+    demo::commit(&deployment)?;
+    let daemon = deployment.daemons[0].listed.address.clone();
+    let model = deployment.manifest.models[0].name.clone();
+    let through = {
+        let model = model.clone();
+        send(requests, callers, move |http, id| {
+            let url = format!("http://{daemon}/v1/completions");
+            stream(http, &url, &[AUTHORIZATION], &caller_request(&model, id))
+        })
+    };
+    let engines: Vec<_> =
+        deployment.manifest.models[0].servers.iter().map(|s| s.address.clone()).collect();
+    let direct = send(requests, callers, move |http, id| {
+        let engine = &engines[id as usize % engines.len()];
+        let url = format!("http://{engine}/v1/completions");
+        let attempt = id.to_string();
+        stream(http, &url, &[("x-attempt", &attempt)], &engine_request(&model, id))
+    });
+    let report = LoadReport { through_daemon: through, direct };
+    output::result(options.format, &report, LoadReport::describe);
+    Ok(())
+}
+
+/// Sends requests from several threads; `call` returns the tokens of a whole answer.
+fn send(
+    requests: u64,
+    callers: u64,
+    call: impl Fn(&Http, u64) -> Option<u64> + Send + Sync + 'static,
+) -> LoadResult {
+    let (next, answered, tokens) = (AtomicU64::new(0), AtomicU64::new(0), AtomicU64::new(0));
+    let shared = Arc::new((next, answered, tokens, call));
+    let started = Instant::now();
+    let work = || {
+        let shared = Arc::clone(&shared);
+        thread::spawn(move || {
+            let http = Http::new(&HttpOptions { total: None, ..HttpOptions::default() });
+            let (next, answered, tokens, call) = &*shared;
+            loop {
+                let id = next.fetch_add(1, Ordering::Relaxed);
+                if id >= requests {
+                    return;
+                }
+                if let Some(count) = call(&http, id) {
+                    answered.fetch_add(1, Ordering::Relaxed);
+                    tokens.fetch_add(count, Ordering::Relaxed);
+                }
+            }
+        })
+    };
+    let threads: Vec<_> = (0..callers).map(|_| work()).collect();
+    for thread in threads {
+        thread.join().expect("a caller does not panic");
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let answered = shared.1.load(Ordering::Relaxed);
+    LoadResult {
+        answered,
+        failed: requests - answered,
+        seconds,
+        requests_per_s: answered as f64 / seconds,
+        tokens_per_s: shared.2.load(Ordering::Relaxed) as f64 / seconds,
+    }
+}
+
+fn stream(http: &Http, url: &str, headers: &[(&str, &str)], body: &[u8]) -> Option<u64> {
+    let mut lines = http.post_lines(url, headers, body).ok()?;
+    let mut tokens = 0;
+    while let Ok(Some(line)) = lines.next_line() {
+        let Some(data) = line.strip_prefix("data: ") else { continue };
+        if data == "[DONE]" {
+            return Some(tokens);
+        }
+        tokens += u64::from(serde_json::from_str::<CompletionChunk>(data).ok()?.tokens);
+    }
+    None
+}
+
+fn prompt(id: u64) -> String {
+    format!("question {id} of the load bench")
+}
+
+fn caller_request(model: &str, id: u64) -> Vec<u8> {
+    let request = CallerCompletion {
+        model: model.to_owned(),
+        prompt: prompt(id),
+        max_tokens: MAX_TOKENS,
+        stream: true,
+        adapter: None,
+    };
+    serde_json::to_vec(&request).expect("messages are plain data")
+}
+
+fn engine_request(model: &str, id: u64) -> Vec<u8> {
+    let request = CompletionRequest {
+        model: model.to_owned(),
+        prompt: prompt(id),
+        max_tokens: MAX_TOKENS,
+        stream: true,
+        adapter: None,
+        priority: 0,
+        min_version: 0,
+        seed: id,
+        resume_text: String::new(),
+        resume_tokens: 0,
+    };
+    serde_json::to_vec(&request).expect("messages are plain data")
+}
+
+impl LoadReport {
+    fn describe(&self) -> String {
+        let line = |name: &str, r: &LoadResult| {
+            format!(
+                "{name:<16} {} answers, {} failed in {:.2} s: {:.0} requests/s, {:.0} tokens/s",
+                r.answered, r.failed, r.seconds, r.requests_per_s, r.tokens_per_s
+            )
+        };
+        let ratio = self.through_daemon.requests_per_s / self.direct.requests_per_s;
+        format!(
+            "{}\n{}\nratio            {ratio:.2}",
+            line("through a daemon", &self.through_daemon),
+            line("direct", &self.direct)
+        )
+    }
+}
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -27,6 +27,7 @@
         .subcommand(submit())
         .subcommand(report())
         .subcommand(demo())
+        .subcommand(bench())
 }
 
 fn common_args() -> [Arg; 4] {
@@ -193,6 +194,35 @@
         .subcommand(burn)
 }
 
+fn bench() -> Command {
+    let load = Command::new("load")
+        .about("Send a load through one daemon, and the same load directly to the engines")
+        .arg(
+            Arg::new("requests")
+                .long("requests")
+                .value_name("COUNT")
+                .value_parser(value_parser!(u64).range(1..=1_000_000))
+                .default_value("4000")
+                .help("Requests of each of the two loads"),
+        )
+        .arg(
+            Arg::new("callers")
+                .long("callers")
+                .value_name("COUNT")
+                .value_parser(value_parser!(u64).range(1..=64))
+                .default_value("32")
+                .help("Requests at the same time"),
+        );
+    Command::new("bench")
+        .about("Benches for people")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("policy").about("Compare policies in virtual time; takes about a minute"),
+        )
+        .subcommand(load)
+}
+
 fn demo() -> Command {
     Command::new("demo")
         .about("Run the whole system with stand-ins in this process and check every promise")
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -1,6 +1,6 @@
 //! The whole system in one process: stand-ins, daemons, trainers and callers.
 
-mod deployment;
+pub mod deployment;
 mod report;
 
 use std::{
@@ -19,6 +19,7 @@
 };
 use buckthornfall_standins::{
     callers::{Caller, CallerOptions, CallerReport},
+    engine::Latency,
     trainer::{Trainer, TrainerOptions, TrainerReport},
 };
 use clap::ArgMatches;
@@ -33,7 +34,7 @@
     output,
 };
 
-const GEDEL: &str = include_str!("../../../examples/gedel.json");
+pub const GEDEL: &str = include_str!("../../../examples/gedel.json");
 const CONSORTIUM: &str = include_str!("../../../examples/consortium.json");
 /// Longest wait for the system to start.
 const START_LIMIT: Duration = Duration::from_secs(15);
@@ -44,6 +45,9 @@
 const SAMPLES: u32 = 8;
 const SAMPLE_TOKENS: u32 = 96;
 const CALLER_TOKENS: u32 = 32;
+const LATENCY: Latency =
+    Latency { zones: Duration::from_micros(1500), regions: Duration::from_millis(12) };
+const TOKEN: Duration = Duration::from_micros(1500);
 
 /// Which stand-in is broken on purpose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,11 +71,22 @@
     pub faults: bool,
     /// The stand-in that is broken on purpose.
     pub broken: Option<Broken>,
+    /// Time of one token on an engine.
+    pub token: Duration,
+    /// One-way latency to other availability zones and regions.
+    pub latency: Latency,
 }
 
 impl Default for DemoOptions {
     fn default() -> DemoOptions {
-        DemoOptions { deployment: "gedel".to_owned(), steps: 4, faults: false, broken: None }
+        DemoOptions {
+            deployment: "gedel".to_owned(),
+            steps: 4,
+            faults: false,
+            broken: None,
+            token: TOKEN,
+            latency: LATENCY,
+        }
     }
 }
 
@@ -91,6 +106,8 @@
             steps: matches.get_one::<u64>("steps").copied().unwrap_or(default.steps),
             faults: matches.get_flag("faults"),
             broken,
+            token: default.token,
+            latency: default.latency,
         }
     }
 }
@@ -151,7 +168,7 @@
 }
 
 /// Commits the manifest and waits until all daemons have it and see all servers.
-fn commit(deployment: &Deployment) -> Result<()> {
+pub fn commit(deployment: &Deployment) -> Result<()> {
     let client = deployment.client("token-of-pipeline", "");
     let manifest = serde_json::to_value(&deployment.manifest).expect("a manifest is plain data");
     let body = serde_json::to_vec(&CommitRequest { base_revision: 0, manifest })
--- a/crates/cli/src/demo/deployment.rs
+++ b/crates/cli/src/demo/deployment.rs
@@ -10,7 +10,7 @@
     settings::{PlatformSettings, Settings},
 };
 use buckthornfall_standins::{
-    engine::{Engine, EngineOptions, Latency},
+    engine::{Engine, EngineOptions},
     hosts::HostList,
     objects::Objects,
     server::Server,
@@ -113,13 +113,11 @@
                         region: self.region_of(&server.zone),
                         zone: server.zone.clone(),
                         slots: server.slots,
+                        token: options.token,
                         checks_fence: server.checks_fence,
                         weight_store: store.to_owned(),
                         crash_text: CRASH_TEXT.to_owned(),
-                        latency: Latency {
-                            zones: Duration::from_micros(1500),
-                            regions: Duration::from_millis(12),
-                        },
+                        latency: options.latency,
                         mixes_answers: options.broken == Some(Broken::Answers),
                         ..EngineOptions::default()
                     },
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `buckthornfall`: the command-line tool of the rollout service.
 
 mod admin;
+mod bench;
 mod caller;
 mod cli;
 mod demo;
@@ -36,6 +37,7 @@
         Some(("request", sub)) => caller::request(&options, sub),
         Some(("submit", sub)) => caller::submit(&options, sub),
         Some(("report", sub)) => report::run(&options, sub),
+        Some(("bench", sub)) => bench::run(&options, sub),
         Some(("demo", sub)) => demo::run(&options, sub),
         _ => unreachable!("clap requires a known subcommand"),
     }
