Start fewer samples ahead of new weights where staleness weighs more

Cause: the objective only bounded how old a server may be; samples of the next step started under the old weights whatever it said. Now a share of the groups starts ahead.

--- a/crates/bench/src/simulation.rs
+++ b/crates/bench/src/simulation.rs
@@ -583,6 +583,7 @@
         let request =
             PullRequest { cursor: self.trainers[trainer].cursor.clone(), max_groups: u32::MAX };
         let mut out = Vec::new();
+        self.coordinators[trainer].close_before(self.now, step, &mut out);
         let answer = self.coordinators[trainer].pull(self.now, &request, &mut out);
         self.apply_steps(trainer, out);
         let Ok(answer) = answer else { return };
@@ -622,9 +623,6 @@
         state.cursor = Cursor { step, taken: Vec::new(), weights_version: version };
         let adapter = self.manifest.models[0].adapters[trainer].clone();
         self.after(STAGE, Event::SwapStart { adapter, version, next: 0 });
-        let mut out = Vec::new();
-        self.coordinators[trainer].close_before(self.now, step, &mut out);
-        self.apply_steps(trainer, out);
         self.after(Duration::ZERO, Event::Trainer { trainer });
     }
 
--- a/crates/core/src/step.rs
+++ b/crates/core/src/step.rs
@@ -94,6 +94,8 @@
     works: FxHashMap<WorkId, SlotId>,
     /// Newest version that the trainer is known to hold.
     trainer_version: WeightVersion,
+    /// Newest step that the trainer pulled from.
+    current: StepNumber,
     stats: StepStats,
 }
 
@@ -119,6 +121,7 @@
             steps: BTreeMap::new(),
             works: FxHashMap::default(),
             trainer_version: 0,
+            current: 0,
             stats: StepStats::default(),
         }
     }
@@ -266,10 +269,22 @@
         })
     }
 
+    /// Groups of a step that may be worked on: all of the step that the trainer waits for, and a
+    /// share of later ones, which new weights will make older.
+    fn groups_ahead(&self, step: StepNumber, groups: usize) -> usize {
+        let is_later = self.steps.keys().any(|open| *open < step) && step > self.current;
+        if is_later {
+            groups * self.policy.ahead_percent as usize / 100
+        } else {
+            groups
+        }
+    }
+
     /// Slots whose group may be worked on.
     fn startable_slots(&self) -> impl Iterator<Item = (SlotId, &Slot)> {
         self.steps.iter().filter(|(_, step)| !step.recovering).flat_map(|(number, step)| {
-            let filling = step.groups.values().filter(|group| group.is_filling());
+            let ahead = self.groups_ahead(*number, step.groups.len());
+            let filling = step.groups.values().take(ahead).filter(|group| group.is_filling());
             filling.flat_map(move |group| group.slots_of(*number))
         })
     }
--- a/crates/core/src/step/delivery.rs
+++ b/crates/core/src/step/delivery.rs
@@ -32,6 +32,7 @@
             return Err(Refusal::new(ErrorKind::NotFound, message));
         }
         self.trainer_version = self.trainer_version.max(cursor.weights_version);
+        self.current = self.current.max(cursor.step);
         self.drop_stale(now, cursor, out);
         let groups = self.ready_groups(cursor, request.max_groups as usize);
         let mut taken = cursor.taken.clone();
--- a/crates/core/src/step/policy.rs
+++ b/crates/core/src/step/policy.rs
@@ -15,6 +15,8 @@
 pub struct StepPolicy {
     /// How many versions behind the trainer a run may start; never above the staleness bound.
     pub start_bound: u64,
+    /// Groups of a step that are started before the trainer waits for it, in percent.
+    pub ahead_percent: u32,
     /// Longest run of one sample.
     pub deadline: Duration,
     /// A run below this share of the median token rate gets a second run, in percent; 0 for none.
@@ -25,6 +27,8 @@
     pub hedge_budget_per_mille: u64,
 }
 
+/// Weight of idle time from which all samples are started ahead.
+const ALL_AHEAD_FROM_PERCENT: u32 = 75;
 /// Shortest run whose token rate is judged.
 const JUDGE_AFTER: Duration = Duration::from_millis(300);
 const HEDGE_BELOW_PERCENT: u32 = 50;
@@ -32,11 +36,12 @@
 
 impl StepPolicy {
     /// The policy for an objective: the more staleness weighs, the fresher a server must be to
-    /// start a run.
+    /// start a run, and the fewer samples are started before new weights come.
     pub fn new(trainer: &Trainer, objective: &Objective) -> StepPolicy {
         let share = u64::from(objective.idle_percent);
         StepPolicy {
             start_bound: trainer.staleness_bound * share / 100,
+            ahead_percent: (objective.idle_percent * 100 / ALL_AHEAD_FROM_PERCENT).min(100),
             deadline: Duration::from_millis(trainer.step_deadline_ms),
             hedge_below_percent: HEDGE_BELOW_PERCENT,
             resume: true,
