Trainers share by weight

Cause: the manifest's weight had no effect; the first trainer's step went first (64 and 0 of 64 starts in tests/shares.rs, failing first). Rollouts now rank by samples under way over weight, then by step and length: 32 and 32 with equal weights, 2 to 1 with 2 and 1. Coordinators on different daemons still share by load only.

--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -27,8 +27,8 @@
 #[derive(Debug, Default, Clone)]
 pub struct LongestFirst;
 
-const USAGE_STEP_PER_MILLE: u32 = 250;
-const USAGE_BITS: u32 = 6;
+const USAGE_STEP_PER_MILLE: u32 = 500;
+const USAGE_BITS: u32 = 12;
 const STEP_BITS: u32 = 32;
 const LENGTH_BITS: u32 = 20;
 
--- a/crates/core/src/step/runs.rs
+++ b/crates/core/src/step/runs.rs
@@ -22,6 +22,8 @@
 
 const RETRY_FIRST: Duration = Duration::from_millis(200);
 const RETRY_DOUBLINGS: u32 = 5;
+/// Samples under way that make a full share of a trainer with weight 1.
+const SHARE_UNIT: u32 = 16;
 const SCORE_TIMEOUT: Duration = Duration::from_secs(30);
 
 impl<O: Order> StepCoordinator<O> {
@@ -274,12 +276,18 @@
         RolloutHint {
             step: id.step,
             expected_tokens: group.expected_tokens(),
-            usage_per_mille: 0,
+            usage_per_mille: self.usage_per_mille(),
             arrival: self.arrivals,
             hedge,
         }
     }
 
+    /// How far the trainer is ahead of its share: its samples under way over its weight.
+    fn usage_per_mille(&self) -> u32 {
+        let under_way = self.works.len() as u32;
+        under_way.saturating_mul(1000) / (SHARE_UNIT * self.trainer.weight.max(1))
+    }
+
     pub(super) fn new_work(&mut self, id: SlotId) -> WorkId {
         self.next_work += 1;
         let work = (self.namespace << WORK_ID_BITS) | self.next_work;
