Suspects of plain services run again without an order to the server

Cause: a suspect waited for its server to be isolated by order; plain and scoring services take no such order, so the request would have waited until its deadline (found by reading). Before: Isolate is asked of a plain server, which has no such path.

--- a/crates/core/src/dispatch/recovery.rs
+++ b/crates/core/src/dispatch/recovery.rs
@@ -8,6 +8,7 @@
 };
 use crate::{
     error::{ErrorKind, Refusal},
+    fleet::ServiceKind,
     pick::Pick,
     quarantine::Grant,
     table::{ReadResult, TxnResult},
@@ -20,11 +21,7 @@
 impl<P: Pick> Dispatcher<P> {
     /// Takes the news that a server gave no report.
     pub fn on_unreachable(&mut self, now: Now, server: &str, out: &mut Vec<DispatchAction>) {
-        let broken = self
-            .works
-            .values()
-            .any(|s| matches!(&s.stage, Stage::Verdict { server: on, .. } if on == server));
-        if broken {
+        if self.works.values().any(|state| state.is_broken_on(server)) {
             self.on_death(now, server, out);
         } else {
             self.fleet.on_unreachable(now, server);
@@ -40,7 +37,7 @@
         free: bool,
         out: &mut Vec<DispatchAction>,
     ) {
-        let isolating = |s: &&WorkState| matches!(&s.stage, Stage::Isolating { attempt: a, .. } if a == attempt);
+        let isolating = |s: &&WorkState| s.is_isolating(attempt);
         let Some(id) = self.works.values().find(isolating).map(|s| s.work.id) else { return };
         let Some(state) = self.works.get_mut(&id) else { return };
         let Stage::Isolating { attempt, server, .. } = state.stage.clone() else { return };
@@ -115,8 +112,7 @@
 
     /// The server lives: only the connection was cut, so the work goes on elsewhere.
     pub(super) fn resolve_cut(&mut self, now: Now, server: &str, out: &mut Vec<DispatchAction>) {
-        let cut =
-            |s: &&WorkState| matches!(&s.stage, Stage::Verdict { server: on, .. } if on == server);
+        let cut = |s: &&WorkState| s.is_broken_on(server);
         let mut ids: Vec<_> = self.works.values().filter(cut).map(|s| s.work.id).collect();
         ids.sort_unstable();
         for id in ids {
@@ -228,8 +224,7 @@
         grant: Grant,
         out: &mut Vec<DispatchAction>,
     ) {
-        let asking =
-            |s: &&WorkState| matches!(&s.stage, Stage::Asking { attempt: a } if a == attempt);
+        let asking = |s: &&WorkState| s.is_asking(attempt);
         let Some(id) = self.works.values().find(asking).map(|s| s.work.id) else { return };
         let Some(state) = self.works.get_mut(&id) else { return };
         match grant {
@@ -271,7 +266,12 @@
         let Some(best) = best else { return };
         let server = best.info.name.clone();
         let address = best.info.address.clone();
+        let takes_orders = best.kind == ServiceKind::Model;
         self.fleet.isolate(&server, Some(attempt.clone()));
+        if !takes_orders {
+            // Plain services know no isolation; this daemon sends nothing else there.
+            return self.start_attempt(now, id, attempt, server, true, out);
+        }
         if let Some(state) = self.works.get_mut(&id) {
             state.stage =
                 Stage::Isolating { attempt: attempt.clone(), server: server.clone(), since: now };
@@ -285,7 +285,11 @@
             return;
         }
         let address = known.info.address.clone();
+        let takes_orders = known.kind == ServiceKind::Model;
         self.fleet.isolate(server, None);
+        if !takes_orders {
+            return;
+        }
         out.push(DispatchAction::Unisolate {
             server: server.to_owned(),
             address,
@@ -323,6 +327,18 @@
 }
 
 impl WorkState {
+    fn is_isolating(&self, attempt: &str) -> bool {
+        matches!(&self.stage, Stage::Isolating { attempt: own, .. } if own == attempt)
+    }
+
+    fn is_asking(&self, attempt: &str) -> bool {
+        matches!(&self.stage, Stage::Asking { attempt: own } if own == attempt)
+    }
+
+    fn is_broken_on(&self, server: &str) -> bool {
+        matches!(&self.stage, Stage::Verdict { server: on, .. } if on == server)
+    }
+
     fn runs_on(&self, server: &str) -> bool {
         match &self.stage {
             Stage::Running { server: on, .. } | Stage::Verdict { server: on, .. } => on == server,
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -11,6 +11,7 @@
     error::{ErrorKind, Refusal},
     fleet::Place,
     pick::LocalityPick,
+    quarantine::{self, QuarantineAction, DEATHS_ALONE},
     Now,
 };
 use buckthornfall_proto::{
@@ -18,6 +19,7 @@
     manifest::Manifest,
     messages::{EngineState, Outcome},
 };
+use buckthornfall_standins::table::Rows;
 use bytes::Bytes;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -177,6 +179,55 @@
     assert_eq!(failures(&out)[0].work_outcome(), Outcome::Unknown);
 }
 
+/// Answers what a dispatcher asks of the table until it asks no more.
+fn serve_table(
+    dispatcher: &mut Dispatcher<LocalityPick>,
+    table: &mut Rows,
+    out: &mut Vec<DispatchAction>,
+) {
+    let is_table = |action: &DispatchAction| matches!(action, DispatchAction::Quarantine(_));
+    while let Some(position) = out.iter().position(is_table) {
+        match out.remove(position) {
+            DispatchAction::Quarantine(QuarantineAction::Read { fingerprint }) => {
+                let reply = Ok(table.read(&quarantine::key(fingerprint)));
+                dispatcher.on_quarantine_read(SECOND, fingerprint, &reply, out);
+            }
+            DispatchAction::Quarantine(QuarantineAction::Txn { fingerprint, txn }) => {
+                let reply = Ok(table.run(&txn));
+                dispatcher.on_quarantine_txn(SECOND, fingerprint, &reply, out);
+            }
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn a_request_that_kills_plain_servers_is_stopped_without_orders_to_them() {
+    let manifest = manifest();
+    let mut dispatcher = dispatcher(&manifest);
+    let mut table = Rows::default();
+    let mut out = Vec::new();
+    dispatcher.submit(SECOND, look(1, SECOND * 30), &mut out).expect("there is room");
+    let mut deaths = 0;
+    let mut refusals = Vec::new();
+    while let Some((attempt, server)) = starts(&out).last().cloned() {
+        out.clear();
+        deaths += 1;
+        let cut = AttemptEvent::Broken { reason: "connection reset".to_owned() };
+        dispatcher.on_attempt(SECOND, &attempt, cut, &mut out);
+        dispatcher.on_report(SECOND, &server, state(1 + deaths), &mut out);
+        serve_table(&mut dispatcher, &mut table, &mut out);
+        assert!(!out.iter().any(|action| matches!(action, DispatchAction::Isolate { .. })));
+        refusals.extend(failures(&out));
+    }
+    assert_eq!(deaths as usize, 1 + DEATHS_ALONE);
+    assert_eq!(refusals.len(), 1, "{refusals:?}");
+    assert_eq!(refusals[0].kind, ErrorKind::Quarantined);
+    let again =
+        dispatcher.submit(SECOND, Work { fingerprint: 1, ..look(2, SECOND * 30) }, &mut out);
+    assert_eq!(again.expect_err("it is quarantined").kind, ErrorKind::Quarantined);
+}
+
 #[test]
 fn a_late_answer_is_dropped_and_counted() {
     let manifest = manifest();
