Benches share one dispatcher and one request; unused functions removed

Cause: the capacity and the request path bench each built the same dispatcher and the same request (found by reading the change again). tests/support/serving.rs serves both now. StepCoordinator::has_step, ::open_steps and Membership::random had no caller.

--- a/crates/core/benches/capacity.rs
+++ b/crates/core/benches/capacity.rs
@@ -5,6 +5,8 @@
 mod fleet;
 #[path = "../tests/support/gossip.rs"]
 mod gossip;
+#[path = "../tests/support/serving.rs"]
+mod serving;
 #[path = "../tests/support/sizes.rs"]
 mod sizes;
 
@@ -16,8 +18,7 @@
 use buckthornfall_core::{
     burn::Burn,
     config::Config,
-    dispatch::{AttemptEvent, Class, DispatchAction, Dispatcher, Progress, Task, Work, WorkEvent},
-    fleet::Place,
+    dispatch::{AttemptEvent, DispatchAction, Dispatcher, Progress, Task, WorkEvent},
     lease::{Lease, LeaseAction, LeaseTimes},
     order::LongestFirst,
     pick::LocalityPick,
@@ -27,12 +28,12 @@
 };
 use buckthornfall_proto::{
     check,
-    manifest::{Indicator, Manifest},
+    manifest::Indicator,
     messages::{EngineState, GroupSpec, StepSpec, TrackState, TxnAnswer},
 };
 use buckthornfall_standins::table::Rows;
 use bytes::Bytes;
-use gossip::{host, GossipNet};
+use gossip::GossipNet;
 use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
 
 #[global_allocator]
@@ -168,45 +169,11 @@
     }
 }
 
-fn dispatcher(manifest: &Manifest, daemons: usize) -> Dispatcher<LocalityPick> {
-    let place = Place { host: host(0), zone: "zone-0".to_owned(), region: "region-0".to_owned() };
-    let mut dispatcher = Dispatcher::new(place, 1, LocalityPick);
-    let daemons: Vec<_> = (0..daemons).map(host).collect();
-    dispatcher.configure(Now::ZERO, manifest, &daemons, &mut Vec::new());
-    let names: Vec<_> = dispatcher.fleet().iter().map(|s| s.info.name.clone()).collect();
-    for name in names {
-        dispatcher.on_report(Now::ZERO, &name, engine_state(1), &mut Vec::new());
-    }
-    dispatcher
-}
-
-fn completion(id: u64) -> Work {
-    Work {
-        id,
-        service: "model".to_owned(),
-        class: Class::Interactive,
-        task: Task::Generate {
-            prompt: Bytes::from_static(b"a prompt of ordinary length for a measurement"),
-            adapter: None,
-            max_tokens: 64,
-            min_version: 0,
-            seed: id,
-        },
-        idempotent: true,
-        fingerprint: id,
-        prefix: id % 64,
-        deadline: Duration::from_secs(30),
-        rank: id,
-        avoid: None,
-        resume: Progress::default(),
-    }
-}
-
 /// Routes one request and ends it after some events of tokens.
 fn route(dispatcher: &mut Dispatcher<LocalityPick>, id: u64, events: u32) {
     let now = Duration::from_millis(id / 100);
     let mut out = Vec::new();
-    dispatcher.submit(now, completion(id), &mut out).expect("there is room");
+    dispatcher.submit(now, serving::completion(id), &mut out).expect("there is room");
     let attempt = out.iter().find_map(|action| match action {
         DispatchAction::Start { attempt, .. } => Some(attempt.clone()),
         _ => None,
@@ -228,7 +195,8 @@
     line("| ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
     for servers in [20, 100, 500, 1000, 2500] {
         let manifest = check::manifest_value(sizes::manifest(servers, 8, 0)).expect("it is valid");
-        let (bytes, mut dispatcher) = held_bytes(|| dispatcher(&manifest, 400));
+        let (bytes, mut dispatcher) =
+            held_bytes(|| serving::dispatcher(&manifest, 400, &engine_state(1)));
         let own = dispatcher.fleet().service("model").map_or(0, <[_]>::len);
         let region = Region::new(ALLOCATOR);
         let started = Instant::now();
--- a/crates/core/benches/request_path.rs
+++ b/crates/core/benches/request_path.rs
@@ -2,6 +2,8 @@
 
 #![allow(missing_docs, reason = "the macro of criterion makes a public function without docs")]
 
+#[path = "../tests/support/serving.rs"]
+mod serving;
 #[path = "../tests/support/sizes.rs"]
 mod sizes;
 
@@ -10,11 +12,9 @@
 use buckthornfall_core::{
     admission::Admission,
     auth::Tokens,
-    dispatch::{AttemptEvent, Class, DispatchAction, Dispatcher, Progress, Task, Work},
+    dispatch::{AttemptEvent, DispatchAction},
     entry,
-    fleet::Place,
     membership::PeerView,
-    pick::LocalityPick,
     Now,
 };
 use buckthornfall_proto::{
@@ -24,7 +24,6 @@
     manifest::Manifest,
     messages::{EngineState, Gossip, PeerMessage},
 };
-use bytes::Bytes;
 use criterion::{criterion_group, criterion_main, Criterion};
 
 const SERVERS: usize = 2500;
@@ -38,13 +37,8 @@
     format!("entry-{index}")
 }
 
-fn dispatcher(manifest: &Manifest) -> Dispatcher<LocalityPick> {
-    let place = Place { host: host(0), zone: "zone-0".into(), region: "region-0".into() };
-    let mut dispatcher = Dispatcher::new(place, 1, LocalityPick);
-    let daemons: Vec<_> = (0..DAEMONS).map(host).collect();
-    dispatcher.configure(Now::ZERO, manifest, &daemons, &mut Vec::new());
-    let names: Vec<_> = dispatcher.fleet().iter().map(|s| s.info.name.clone()).collect();
-    let state = EngineState {
+fn state() -> EngineState {
+    EngineState {
         model: "model".to_owned(),
         tracks: Vec::new(),
         slots: 128,
@@ -52,44 +46,18 @@
         queued: 0,
         draining: false,
         incarnation: 1,
-    };
-    for name in names {
-        dispatcher.on_report(Now::ZERO, &name, state.clone(), &mut Vec::new());
-    }
-    dispatcher
-}
-
-fn work(id: u64) -> Work {
-    Work {
-        id,
-        service: "model".to_owned(),
-        class: Class::Interactive,
-        task: Task::Generate {
-            prompt: Bytes::from_static(b"a prompt"),
-            adapter: None,
-            max_tokens: 64,
-            min_version: 0,
-            seed: id,
-        },
-        idempotent: true,
-        fingerprint: id,
-        prefix: id % 64,
-        deadline: Duration::from_secs(30),
-        rank: id,
-        avoid: None,
-        resume: Progress::default(),
     }
 }
 
 fn route(c: &mut Criterion) {
     let manifest = manifest();
-    let mut dispatcher = dispatcher(&manifest);
+    let mut dispatcher = serving::dispatcher(&manifest, DAEMONS, &state());
     let mut id = 0;
     c.bench_function("route and finish one request, 2,500 servers", |b| {
         b.iter(|| {
             id += 1;
             let mut out = Vec::new();
-            dispatcher.submit(Now::ZERO, work(id), &mut out).expect("there is room");
+            dispatcher.submit(Now::ZERO, serving::completion(id), &mut out).expect("there is room");
             let attempt = out.iter().find_map(|action| match action {
                 DispatchAction::Start { attempt, .. } => Some(attempt.clone()),
                 _ => None,
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -7,7 +7,7 @@
     ids::{HostId, ServerId},
     messages::{HostListAnswer, HostState, ListedHost},
 };
-use rand::{rngs::SmallRng, seq::IndexedRandom, Rng, SeedableRng};
+use rand::{rngs::SmallRng, seq::IndexedRandom, SeedableRng};
 use rustc_hash::FxHashSet;
 
 use crate::Now;
@@ -298,11 +298,6 @@
             self.own.version = entry.version + 1;
         }
     }
-
-    /// A random number for this daemon's choices.
-    pub fn random(&mut self) -> u64 {
-        self.rng.random()
-    }
 }
 
 fn peer_view(listed: &ListedHost, alive: bool, leaving: bool) -> PeerView {
--- a/crates/core/src/step.rs
+++ b/crates/core/src/step.rs
@@ -142,16 +142,6 @@
         &self.stats
     }
 
-    /// Steps that are open.
-    pub fn open_steps(&self) -> usize {
-        self.steps.len()
-    }
-
-    /// Whether a step is open here.
-    pub fn has_step(&self, step: StepNumber) -> bool {
-        self.steps.contains_key(&step)
-    }
-
     /// Time since a step was opened here.
     pub fn step_age(&self, now: Now, step: StepNumber) -> Option<Duration> {
         self.steps.get(&step).map(|step| now.saturating_sub(step.opened))
