--- /dev/null
+++ b/crates/core/src/backends.rs
@@ -0,0 +1,277 @@
+//! Backend servers as their entries in the store and their own answers show them.
+//!
+//! An entry names a server; what it answers says whether and how fast it serves. The choice of a
+//! server weighs both, and leaves out servers that failed a short while ago while others are left.
+
+use std::{net::SocketAddr, time::Duration};
+
+use buckthornfall_proto::ids::{ServerId, ServiceName, WeightVersion};
+use rustc_hash::FxHashMap;
+
+use crate::Now;
+
+/// A model that a server holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldModel {
+    /// Name of the model.
+    pub name: String,
+    /// Version of its weights.
+    pub version: WeightVersion,
+}
+
+/// A server's entry.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Backend {
+    /// Id of the server.
+    pub id: ServerId,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// When this start of the server began, in Unix milliseconds; 0 if it doesn't say.
+    pub started_ms: u64,
+    /// Models that it holds.
+    pub models: Vec<HeldModel>,
+}
+
+impl Backend {
+    /// Version of the weights of `model`.
+    pub fn version(&self, model: &str) -> Option<WeightVersion> {
+        self.models.iter().find(|held| held.name == model).map(|held| held.version)
+    }
+}
+
+/// How a request ended at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// The server answered; how long it took, without the network's share.
+    Answered(Duration),
+    /// The server refused the request and did not run it.
+    Refused,
+    /// No usable answer came.
+    Failed,
+    /// The request was given up for a reason that is not the server's.
+    Cancelled,
+}
+
+/// First pause after a failure; doubles with each further one.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause of a server that keeps failing.
+const FAILURE_PAUSE_MAX: Duration = Duration::from_secs(4);
+/// Pause after a refusal: about the time in which a slot becomes free.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+/// Service time that is assumed until a server has answered.
+const ASSUMED_TIME: Duration = Duration::from_millis(30);
+/// Age after which a learned service time no longer counts.
+const LEARNED_KEPT: Duration = Duration::from_secs(6);
+/// Share of a new sample in the learned service time.
+const LEARNING_RATE: f64 = 0.25;
+/// Time without an entry after which a server is forgotten once the store is steady again.
+pub const LAPSED_KEPT: Duration = Duration::from_millis(2_000);
+
+#[derive(Debug, Clone)]
+struct Tracked {
+    entry: Backend,
+    inflight: u32,
+    /// Failures without an answer in between.
+    failures: u32,
+    paused_until: Now,
+    /// Learned service time in seconds, with the time of the last sample.
+    learned: Option<(f64, Now)>,
+    /// When the entry vanished while the store was not steady.
+    lapsed: Option<Now>,
+}
+
+impl Tracked {
+    fn new(entry: Backend) -> Tracked {
+        Tracked {
+            entry,
+            inflight: 0,
+            failures: 0,
+            paused_until: Now::ZERO,
+            learned: None,
+            lapsed: None,
+        }
+    }
+
+    fn service_time(&self, now: Now) -> f64 {
+        match self.learned {
+            Some((time, at)) if now.saturating_sub(at) < LEARNED_KEPT => time,
+            _ => ASSUMED_TIME.as_secs_f64(),
+        }
+    }
+}
+
+/// All backend servers known to a daemon.
+#[derive(Debug, Default)]
+pub struct Backends {
+    servers: FxHashMap<ServerId, Tracked>,
+}
+
+/// Where a daemon stands among the availability zones.
+#[derive(Debug, Clone, Default)]
+pub struct Location {
+    /// Its availability zone.
+    pub zone: String,
+    /// Region of each availability zone.
+    pub regions: FxHashMap<String, String>,
+}
+
+/// Round trips within a zone, between zones of a region and between regions, as both users' sheets
+/// state them.
+const ROUND_TRIPS: [Duration; 3] =
+    [Duration::from_micros(400), Duration::from_micros(2_800), Duration::from_millis(24)];
+
+impl Location {
+    /// Number of boundaries between here and `zone`: 0 within a zone, 1 within a region, else 2.
+    pub fn distance(&self, zone: &str) -> usize {
+        if zone == self.zone {
+            return 0;
+        }
+        let region = |zone: &str| self.regions.get(zone);
+        if region(zone).is_some() && region(zone) == region(&self.zone) {
+            1
+        } else {
+            2
+        }
+    }
+
+    /// Expected round trip to `zone`.
+    pub fn round_trip(&self, zone: &str) -> Duration {
+        ROUND_TRIPS[self.distance(zone)]
+    }
+}
+
+/// What a choice of a server asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct Want<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Where the daemon stands.
+    pub location: &'a Location,
+    /// Servers that were tried already.
+    pub tried: &'a [ServerId],
+}
+
+impl Backends {
+    /// Adds or replaces an entry. A new start of a server forgets what was learned of the last one.
+    pub fn upsert(&mut self, entry: Backend) {
+        match self.servers.get_mut(&entry.id) {
+            Some(known) if known.entry.started_ms == entry.started_ms => {
+                known.entry = entry;
+                known.lapsed = None;
+            }
+            _ => {
+                self.servers.insert(entry.id.clone(), Tracked::new(entry));
+            }
+        }
+    }
+
+    /// Removes an entry; while the store is not `steady` the server stays usable for a while.
+    pub fn remove(&mut self, now: Now, id: &str, steady: bool) {
+        if steady {
+            self.servers.remove(id);
+        } else if let Some(known) = self.servers.get_mut(id) {
+            known.lapsed.get_or_insert(now);
+        }
+    }
+
+    /// Keeps just the servers of a whole listing.
+    pub fn retain(&mut self, now: Now, listed: &[ServerId], steady: bool) {
+        let gone: Vec<_> = self.servers.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        gone.iter().for_each(|id| self.remove(now, id, steady));
+    }
+
+    /// Forgets servers whose entry has been away for `LAPSED_KEPT` of a steady store.
+    pub fn expire(&mut self, steady_since: Now, now: Now) {
+        self.servers.retain(|_, known| {
+            known.lapsed.is_none_or(|at| now.saturating_sub(at.max(steady_since)) < LAPSED_KEPT)
+        });
+    }
+
+    /// The entry of a server.
+    pub fn get(&self, id: &str) -> Option<&Backend> {
+        self.servers.get(id).map(|known| &known.entry)
+    }
+
+    /// All entries.
+    pub fn all(&self) -> impl Iterator<Item = &Backend> {
+        self.servers.values().map(|known| &known.entry)
+    }
+
+    /// Whether a server takes new requests now.
+    pub fn usable(&self, now: Now, id: &str) -> bool {
+        self.servers.get(id).is_some_and(|known| !known.entry.draining && known.paused_until <= now)
+    }
+
+    /// Requests of this daemon at a server.
+    pub fn inflight(&self, id: &str) -> u32 {
+        self.servers.get(id).map_or(0, |known| known.inflight)
+    }
+
+    /// Learned service time of a server.
+    pub fn service_time(&self, now: Now, id: &str) -> Option<Duration> {
+        let known = self.servers.get(id)?;
+        Some(Duration::from_secs_f64(known.service_time(now)))
+    }
+
+    /// The server with the least expected time to an answer; one that failed lately only if no
+    /// other is left.
+    pub fn choose(&self, now: Now, want: Want<'_>) -> Option<&Backend> {
+        let fits = |known: &&Tracked| {
+            known.entry.service == want.service
+                && !known.entry.draining
+                && !want.tried.contains(&known.entry.id)
+        };
+        let cost = |known: &Tracked| {
+            let load = f64::from(known.inflight) / f64::from(known.entry.slots.max(1));
+            let queued = known.service_time(now) * (1.0 + load * load);
+            queued + want.location.round_trip(&known.entry.zone).as_secs_f64()
+        };
+        let paused = |known: &Tracked| known.paused_until > now;
+        self.servers
+            .values()
+            .filter(fits)
+            .min_by(|a, b| {
+                let a_key = (paused(a), cost(a));
+                let b_key = (paused(b), cost(b));
+                a_key.partial_cmp(&b_key).unwrap_or(std::cmp::Ordering::Equal)
+            })
+            .map(|known| &known.entry)
+    }
+
+    /// Counts a request that was sent to a server.
+    pub fn started(&mut self, id: &str) {
+        if let Some(known) = self.servers.get_mut(id) {
+            known.inflight += 1;
+        }
+    }
+
+    /// Learns from the end of a request that `started` counted.
+    pub fn ended(&mut self, now: Now, id: &str, how: Ended) {
+        let Some(known) = self.servers.get_mut(id) else { return };
+        known.inflight = known.inflight.saturating_sub(1);
+        match how {
+            Ended::Answered(took) => {
+                let took = took.as_secs_f64();
+                let last = known.service_time(now);
+                known.learned = Some((last + LEARNING_RATE * (took - last), now));
+                known.failures = 0;
+                known.paused_until = Now::ZERO;
+            }
+            Ended::Refused => known.paused_until = known.paused_until.max(now + REFUSAL_PAUSE),
+            Ended::Failed => {
+                let pause = FAILURE_PAUSE * 2u32.pow(known.failures.min(4));
+                known.failures += 1;
+                known.paused_until = now + pause.min(FAILURE_PAUSE_MAX);
+            }
+            Ended::Cancelled => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/job/log.rs
@@ -0,0 +1,134 @@
+//! The log of a job's results: positions that are only ever filled once.
+
+use std::time::Duration;
+
+use buckthornfall_proto::messages::ResultRow;
+
+use super::{Job, JobAction, State};
+use crate::Now;
+
+/// Results to append at consecutive positions.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Batch {
+    /// Position of the first result.
+    pub first: usize,
+    /// The results.
+    pub results: Vec<ResultRow>,
+}
+
+/// Outcome of an append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AppendEnd {
+    /// The store confirmed it.
+    Done,
+    /// A position is filled already.
+    Conflict,
+    /// Nothing was done.
+    Refused,
+    /// It may have been done, or may be done later.
+    Unknown,
+}
+
+/// Results in one append: half of what a transaction may hold, as large results take two rows.
+const BATCH_RESULTS: usize = 45;
+/// Bytes of text in one append, under the store's megabyte with its encoding.
+const BATCH_BYTES: usize = 500_000;
+/// Pause after an append that failed.
+const APPEND_PAUSE: Duration = Duration::from_millis(150);
+
+#[derive(Debug, Default)]
+pub(super) struct Log {
+    /// Positions that are known to be filled.
+    listed: usize,
+    /// The append in flight, with the indices of its samples. Kept unchanged until its outcome is
+    /// known, so that a late write can only fill positions with what stands here.
+    pending: Option<(Batch, Vec<usize>)>,
+    in_flight: bool,
+    not_before: Now,
+}
+
+impl Job {
+    /// Starts the next append if none is in flight.
+    pub(super) fn append(&mut self, now: Now, id: &str, out: &mut Vec<JobAction>) {
+        if self.log.in_flight || now < self.log.not_before {
+            return;
+        }
+        if self.log.pending.is_none() {
+            self.log.pending = self.next_batch();
+        }
+        if let Some((batch, _)) = &self.log.pending {
+            self.log.in_flight = true;
+            out.push(JobAction::Append { job: id.to_owned(), batch: batch.clone() });
+        }
+    }
+
+    pub(super) fn on_appended(
+        &mut self,
+        now: Now,
+        id: &str,
+        end: AppendEnd,
+        out: &mut Vec<JobAction>,
+    ) {
+        match end {
+            AppendEnd::Done => {
+                self.log.in_flight = false;
+                let Some((batch, indices)) = self.log.pending.take() else { return };
+                self.log.listed = batch.first + batch.results.len();
+                indices.iter().for_each(|index| self.mark_listed(*index));
+                self.append(now, id, out);
+            }
+            AppendEnd::Conflict => out.push(JobAction::ReadLog { job: id.to_owned() }),
+            AppendEnd::Refused | AppendEnd::Unknown => {
+                self.log.in_flight = false;
+                self.log.not_before = now + APPEND_PAUSE;
+            }
+        }
+    }
+
+    /// Takes the whole log as it stands in the store.
+    pub(super) fn on_listed(&mut self, listed: &[ResultRow]) {
+        self.log.in_flight = false;
+        self.log.pending = None;
+        self.log.listed = listed.len();
+        for row in listed {
+            let index = self.spec.samples.iter().position(|sample| sample.id == row.id);
+            if let Some(index) = index {
+                self.mark_listed(index);
+            }
+        }
+    }
+
+    fn mark_listed(&mut self, index: usize) {
+        self.samples[index].state = State::Listed;
+        self.samples[index].text = super::Text::default();
+    }
+
+    fn next_batch(&self) -> Option<(Batch, Vec<usize>)> {
+        let finished = |index: &usize| self.samples[*index].state == State::Finished;
+        let mut indices = Vec::new();
+        let mut results = Vec::new();
+        let mut bytes = 0;
+        for index in (0..self.samples.len()).filter(finished).take(BATCH_RESULTS) {
+            let row = self.result(index);
+            bytes += row.text.len();
+            if bytes > BATCH_BYTES && !results.is_empty() {
+                break;
+            }
+            indices.push(index);
+            results.push(row);
+        }
+        let batch = Batch { first: self.log.listed, results };
+        (!indices.is_empty()).then_some((batch, indices))
+    }
+
+    fn result(&self, index: usize) -> ResultRow {
+        let sample = &self.samples[index];
+        ResultRow {
+            id: self.spec.samples[index].id.clone(),
+            complete: sample.text.complete,
+            text: sample.text.joined(),
+            versions: sample.text.versions().to_vec(),
+            score: sample.text.score.clone(),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,16 +6,20 @@
 
 pub mod admission;
 pub mod auth;
+pub mod backends;
 pub mod burn;
 pub mod claim;
 pub mod commit;
 pub mod config;
+pub mod desired;
 pub mod dispatch;
 pub mod drain;
 pub mod entry;
 pub mod error;
 pub mod fleet;
+pub mod job;
 pub mod lease;
+pub mod members;
 pub mod membership;
 pub mod order;
 pub mod pick;
@@ -23,7 +27,9 @@
 pub mod quarantine;
 pub mod rollout;
 pub mod step;
+pub mod store;
 pub mod table;
+pub mod weights;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/core/src/members.rs
@@ -0,0 +1,122 @@
+//! The daemons of a deployment, as their rows in the store show them.
+//!
+//! Each daemon writes its row again with each heartbeat. A daemon counts as live while its row
+//! keeps changing, on the observer's own clock; time in which the observer itself did not hear from
+//! the store does not count against anybody. What a daemon owns in the store can only be served by
+//! one that reaches the store, so this is also the test for a takeover.
+
+use std::time::Duration;
+
+use buckthornfall_proto::{
+    digest::{fingerprint, rendezvous_rank},
+    ids::HostId,
+    messages::{MemberRow, MemberState},
+};
+use rustc_hash::FxHashMap;
+
+use crate::{backends::Location, Now};
+
+/// Heartbeats a second of all daemons together, so that their rows stay within the store's rates.
+const BEATS_PER_SECOND: u32 = 50;
+/// Shortest time between two heartbeats of a daemon.
+const MIN_BEAT: Duration = Duration::from_millis(800);
+/// Heartbeats that may be missed before a daemon counts as gone.
+const MISSED_BEATS: u32 = 4;
+
+#[derive(Debug, Clone)]
+struct Seen {
+    row: MemberRow,
+    /// When its row last changed, moved forward by each gap in this daemon's contact to the store.
+    changed: Now,
+}
+
+/// The daemons that this one knows.
+#[derive(Debug)]
+pub struct Members {
+    own: HostId,
+    seen: FxHashMap<HostId, Seen>,
+    last_contact: Now,
+}
+
+/// Longest time between two replies of the store that is not a gap.
+const CONTACT_GAP: Duration = Duration::from_millis(600);
+
+impl Members {
+    /// A view that knows of no daemon.
+    pub fn new(own: HostId) -> Members {
+        Members { own, seen: FxHashMap::default(), last_contact: Now::ZERO }
+    }
+
+    /// Time between two heartbeats of a daemon.
+    pub fn beat_interval(&self) -> Duration {
+        let daemons = u32::try_from(self.seen.len()).unwrap_or(u32::MAX);
+        MIN_BEAT.max(Duration::from_secs(1) * daemons / BEATS_PER_SECOND)
+    }
+
+    /// Notes a reply of the store.
+    pub fn on_contact(&mut self, now: Now) {
+        let gap = now.saturating_sub(self.last_contact);
+        if gap > CONTACT_GAP {
+            self.seen.values_mut().for_each(|seen| seen.changed = (seen.changed + gap).min(now));
+        }
+        self.last_contact = now;
+    }
+
+    /// Takes a daemon's row.
+    pub fn on_row(&mut self, now: Now, host: &str, row: MemberRow) {
+        let stale = self.seen.get(host).is_some_and(|seen| {
+            (row.incarnation, row.beat) <= (seen.row.incarnation, seen.row.beat)
+        });
+        if !stale {
+            self.seen.insert(host.to_owned(), Seen { row, changed: now });
+        }
+    }
+
+    /// Whether a daemon writes its heartbeats.
+    pub fn live(&self, now: Now, host: &str) -> bool {
+        let limit = self.beat_interval() * MISSED_BEATS;
+        self.seen.get(host).is_some_and(|seen| {
+            let silent = now.min(self.last_contact).saturating_sub(seen.changed);
+            silent < limit
+        })
+    }
+
+    /// Live daemons that take requests, with their rows.
+    pub fn serving(&self, now: Now) -> impl Iterator<Item = (&HostId, &MemberRow)> {
+        let takes = |seen: &Seen| seen.row.state == MemberState::Serving;
+        let live = move |host: &str| self.live(now, host);
+        self.seen
+            .iter()
+            .filter(move |(host, seen)| takes(seen) && live(host))
+            .map(|(host, seen)| (host, &seen.row))
+    }
+
+    /// The daemon that should run what `key` names.
+    pub fn owner(&self, now: Now, key: &str) -> Option<&HostId> {
+        let key = fingerprint(&[key.as_bytes()]);
+        self.serving(now).map(|(host, _)| host).max_by_key(|host| rendezvous_rank(key, host))
+    }
+
+    /// Whether this daemon is among the `count` first for `key`.
+    pub fn among_first(&self, now: Now, key: &str, count: usize) -> bool {
+        let key = fingerprint(&[key.as_bytes()]);
+        let own = rendezvous_rank(key, &self.own);
+        let others = self.serving(now).filter(|(host, _)| **host != self.own);
+        others.filter(|(host, _)| rendezvous_rank(key, host) > own).count() < count
+    }
+
+    /// Addresses for callers at `location`: those of its region, and all if that leaves too few.
+    pub fn entries(&self, now: Now, location: &Location, most: usize) -> Vec<String> {
+        let mut near: Vec<_> = self
+            .serving(now)
+            .map(|(host, row)| (location.distance(&row.zone), host, &row.front))
+            .collect();
+        near.sort();
+        let in_region = near.iter().filter(|(distance, ..)| *distance < 2).count();
+        let keep = if in_region >= MIN_ENTRIES { in_region } else { near.len() };
+        near.into_iter().take(keep.min(most)).map(|(_, _, front)| front.clone()).collect()
+    }
+}
+
+/// Fewest addresses that callers should be able to choose from.
+const MIN_ENTRIES: usize = 2;
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -21,7 +21,7 @@
                 .long("settings")
                 .short('s')
                 .value_name("FILE")
-                .required(true)
+                .required_unless_present("hosted")
                 .value_parser(value_parser!(PathBuf))
                 .help("Read the settings of this daemon from FILE")
                 .long_help(
@@ -31,6 +31,18 @@
                      at once, and the exit code is 2.",
                 ),
         )
+        .arg(
+            Arg::new("hosted")
+                .long("hosted")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("settings")
+                .help("Run on the users' platform")
+                .long_help(
+                    "Run on the users' platform: the settings are those that the platform hands \
+                     out, the desired state and all that lasts stand in the platform's store, and \
+                     logs go to standard output.",
+                ),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
--- /dev/null
+++ b/crates/daemon/src/hosted.rs
@@ -0,0 +1,215 @@
+//! A daemon on a platform that keeps what must last.
+//!
+//! One thread carries everything: a current-thread runtime moves the sockets, and stakker's actors
+//! make the decisions on jobs and on weights between two batches of its events.
+
+mod answers;
+mod clock;
+mod duty;
+mod entry;
+mod feeds;
+mod forward;
+mod http;
+mod node;
+mod rows;
+mod runner;
+mod score;
+mod server;
+mod store;
+mod stream;
+mod submissions;
+
+use std::{
+    cell::Cell,
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use buckthornfall_platform::settings::{self, NodeSettings};
+use buckthornfall_proto::messages::MemberState;
+use log::{info, warn};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use snafu::{ResultExt, Snafu};
+use stakker::{actor, ret_nop, Stakker};
+use tokio::{
+    signal::unix::{signal, SignalKind},
+    sync::Notify,
+    task::LocalSet,
+    time::sleep,
+};
+
+use self::{
+    duty::Duty,
+    node::{Actors, Node},
+    runner::Runner,
+    server::Surface,
+};
+
+/// Why a daemon could not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The settings cannot be used.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// What is wrong with them.
+        source: buckthornfall_platform::Error,
+    },
+    /// An address cannot be used.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: String,
+        /// What was seen.
+        source: io::Error,
+    },
+    /// The runtime or its signals cannot be set up.
+    #[snafu(display("cannot start the runtime: {source}"))]
+    Runtime {
+        /// What was seen.
+        source: io::Error,
+    },
+    /// The recorder of metrics cannot be installed.
+    #[snafu(display("cannot record metrics: {reason}"))]
+    Metrics {
+        /// What was seen.
+        reason: String,
+    },
+}
+
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Longest sleep of the actors.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+/// Part of the grace time that is kept for the exit itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(1_200);
+/// How long a leaving daemon goes on with its jobs before it hands them over, as a part of the
+/// grace time.
+const JOB_SHARE: f64 = 0.55;
+/// Shortest time of a planned stop: callers keep addresses for this long.
+const MIN_STOP: Duration = Duration::from_millis(2_200);
+/// Time between two looks at whether a planned stop is done.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Reads the settings of the platform and runs until a planned stop has ended.
+pub fn run() -> Result<()> {
+    let settings = settings::load().context(SettingsSnafu)?;
+    let metrics = recorder()?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    LocalSet::new().block_on(&runtime, serve(settings, metrics))
+}
+
+/// Checks the settings of the platform.
+pub fn check() -> Result<()> {
+    settings::load().context(SettingsSnafu).map(drop)
+}
+
+fn recorder() -> Result<PrometheusHandle> {
+    let builder = PrometheusBuilder::new().set_buckets(&crate::telemetry::LATENCY_BUCKETS);
+    let builder = builder.map_err(|e| Error::Metrics { reason: e.to_string() })?;
+    builder.install_recorder().map_err(|e| Error::Metrics { reason: e.to_string() })
+}
+
+async fn serve(settings: NodeSettings, metrics: PrometheusHandle) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
+    let mut reload = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
+    let node = Node::new(settings, metrics);
+    start_actors(&node);
+    let own = &node.settings;
+    let listeners = [
+        (own.front, Surface::Requests),
+        (own.ready, Surface::Requests),
+        (own.directory, Surface::Requests),
+        (own.metrics, Surface::Metrics),
+    ];
+    for (address, surface) in listeners {
+        server::listen(&node, address, surface)
+            .await
+            .context(ListenSnafu { address: address.to_string() })?;
+    }
+    feeds::start(&node);
+    info!(host = own.host.as_str(), zone = own.zone.as_str(), front:% = own.front, store:% = own.store; "started");
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => check_settings(&node),
+        }
+    }
+    stop(&node).await;
+    Ok(())
+}
+
+/// What a daemon reads at its start stays until its next start; a change is only reported.
+fn check_settings(node: &Node) {
+    match settings::load() {
+        Ok(settings) => {
+            let changed = settings != node.settings;
+            info!(changed; "settings_reloaded");
+        }
+        Err(e) => warn!(error:% = e; "settings_unreadable"),
+    }
+}
+
+fn start_actors(node: &Rc<Node>) {
+    let mut stakker = Stakker::new(Instant::now());
+    let s = &mut stakker;
+    let runner = actor!(s, Runner::init(Rc::clone(node)), ret_nop!());
+    let duty = actor!(s, Duty::init(Rc::clone(node)), ret_nop!());
+    let wake = Rc::new(Notify::new());
+    let actors = Actors {
+        deferrer: s.deferrer(),
+        wake: Rc::clone(&wake),
+        runner: runner.clone(),
+        duty: duty.clone(),
+    };
+    drop(node.actors.set(actors));
+    tokio::task::spawn_local(async move {
+        // The owning references keep the actors alive as long as this task.
+        let _owners = (runner, duty);
+        loop {
+            stakker.run(Instant::now(), false);
+            let wait = stakker.next_wait_max(Instant::now(), MAX_WAIT, false);
+            tokio::select! {
+                () = wake.notified() => {}
+                () = sleep(wait) => {}
+            }
+        }
+    });
+}
+
+/// A planned stop: no new work, then what is open ends, then the jobs go to other daemons.
+async fn stop(node: &Rc<Node>) {
+    let started = clock::now();
+    node.state.set(MemberState::Leaving);
+    info!(inflight = node.inflight.get(); "stopping");
+    node.stop.notify_waiters();
+    node.duty(|duty, cx| duty.release(cx));
+    let grace = node.settings.grace;
+    let handed = Cell::new(false);
+    loop {
+        sleep(STOP_CHECK).await;
+        let passed = clock::now().saturating_sub(started);
+        let busy = owned_jobs(node) > 0;
+        if busy && !handed.get() && passed >= grace.mul_f64(JOB_SHARE) {
+            handed.set(true);
+            feeds::hand_over(node).await;
+        }
+        let quiet = node.inflight.get() == 0 && !busy;
+        if (passed >= MIN_STOP && quiet) || passed + EXIT_MARGIN >= grace {
+            break;
+        }
+    }
+    let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
+    info!(inflight = node.inflight.get(), jobs = owned_jobs(node), took_ms; "stopped");
+}
+
+fn owned_jobs(node: &Node) -> usize {
+    use buckthornfall_proto::messages::JobState;
+    let jobs = node.jobs.borrow();
+    let ours = jobs
+        .values()
+        .filter(|job| job.row.state == JobState::Open && job.row.owner == node.settings.host);
+    ours.count()
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/entry.rs
@@ -0,0 +1,141 @@
+//! What a daemon does with each request on its listeners.
+
+use std::{rc::Rc, time::Duration};
+
+use buckthornfall_core::desired::RouteKind;
+use buckthornfall_platform::{
+    headers,
+    interface::{self, Question},
+};
+use buckthornfall_proto::messages::MemberState;
+use bytes::Bytes;
+use http::{header, request, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use log::info;
+
+use super::{
+    answers, clock,
+    forward::{self, text, whole, AnswerBody},
+    node::Node,
+    submissions,
+};
+
+/// How long callers keep an answer of the directory.
+const ENTRY_TTL: Duration = Duration::from_secs(2);
+/// Addresses in an answer of the directory.
+const MAX_ENTRIES: usize = 64;
+/// Time that a caller of a job's interface waits if it does not say.
+const DEFAULT_WAIT: Duration = Duration::from_secs(3);
+
+/// Counts a request until its answer is there.
+struct Pending(Rc<Node>);
+
+impl Pending {
+    fn new(node: &Rc<Node>) -> Pending {
+        node.inflight.set(node.inflight.get() + 1);
+        Pending(Rc::clone(node))
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        self.0.inflight.set(self.0.inflight.get() - 1);
+        if self.0.is_leaving() {
+            self.0.stop.notify_waiters();
+        }
+    }
+}
+
+/// Answers a request on any listener.
+pub async fn handle(node: Rc<Node>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let _pending = Pending::new(&node);
+    if let Some(question) = interface::question(&req) {
+        return whole(answer(&node, question, &req).await);
+    }
+    let (head, body) = req.into_parts();
+    let limit = node.desired().map_or(usize::MAX, |desired| desired.limits.body_bytes);
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => route(&node, &head, body.to_bytes()).await,
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => {
+            whole(answers::error(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
+        }
+        Err(_) => whole(answers::error(StatusCode::BAD_REQUEST, "the body is not whole")),
+    }
+}
+
+/// All metrics.
+pub fn metrics(node: &Node) -> Response<AnswerBody> {
+    node.metrics.run_upkeep();
+    whole(Response::new(Bytes::from(node.metrics.render())))
+}
+
+async fn answer(node: &Rc<Node>, question: Question, req: &Request<Incoming>) -> Response<Bytes> {
+    let limit = wait_limit(req);
+    match question {
+        Question::Ready => ready(node),
+        Question::Entries { zone } => entries(node, &zone),
+        Question::Results { job, after, wait_ms } => {
+            let wait = Duration::from_millis(wait_ms);
+            submissions::within(limit, submissions::results(node, &job, after, wait)).await
+        }
+        Question::SampleBody { job, sample } => {
+            submissions::within(limit, submissions::sample_body(node, &job, &sample)).await
+        }
+        Question::EndJob { job } => submissions::within(limit, submissions::end(node, &job)).await,
+    }
+}
+
+fn wait_limit<B>(req: &Request<B>) -> Duration {
+    let stated = text(req.headers(), &headers::DEADLINE).parse().ok();
+    stated.map_or(DEFAULT_WAIT, Duration::from_millis)
+}
+
+fn ready(node: &Node) -> Response<Bytes> {
+    if node.state.get() == MemberState::Serving {
+        return answers::status(StatusCode::OK);
+    }
+    answers::not_run("this daemon does not take requests now")
+}
+
+fn entries(node: &Node, zone: &str) -> Response<Bytes> {
+    let location = node.settings.location_of(zone);
+    let own = node.settings.front.to_string();
+    let mut addresses = node.members.borrow().entries(clock::now(), &location, MAX_ENTRIES);
+    let reachable = !node.store.is_lost();
+    if addresses.len() > 1 && (node.is_leaving() || !reachable) {
+        addresses.retain(|address| *address != own);
+    }
+    if addresses.is_empty() {
+        if node.state.get() != MemberState::Serving {
+            return answers::not_run("no daemon is known that takes requests");
+        }
+        addresses.push(own);
+    }
+    interface::entries(&addresses, ENTRY_TTL.min(node.settings.entry_ttl_max))
+}
+
+async fn route(node: &Rc<Node>, head: &request::Parts, body: Bytes) -> Response<AnswerBody> {
+    let Some(desired) = node.desired() else {
+        return whole(answers::not_run("no desired state is known yet"));
+    };
+    let host = text(&head.headers, &header::HOST);
+    let path = head.uri.path();
+    let id = text(&head.headers, &headers::ATTEMPT);
+    let Some(route) = desired.route(host, path) else {
+        info!(request = id, host, path, version = desired.version; "no_route");
+        return whole(answers::error(StatusCode::NOT_FOUND, "no route takes this host and path"));
+    };
+    if route.kind == RouteKind::Job {
+        let target = head.uri.path_and_query().map_or(path, |target| target.as_str());
+        let limit = route.timeout.unwrap_or(DEFAULT_WAIT).min(wait_limit_of(head));
+        let accept = submissions::accept(node, route, id, host, target, body);
+        return whole(submissions::within(limit, accept).await);
+    }
+    forward::forward(node, route, head, &body).await
+}
+
+fn wait_limit_of(head: &request::Parts) -> Duration {
+    let stated = text(&head.headers, &headers::DEADLINE).parse().ok();
+    stated.map_or(DEFAULT_WAIT, Duration::from_millis)
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/forward.rs
@@ -0,0 +1,372 @@
+//! Requests of callers that go to a server and back.
+
+use std::{
+    pin::Pin,
+    rc::Rc,
+    task::{ready, Context, Poll},
+    time::Duration,
+};
+
+use buckthornfall_core::{
+    backends::{Backend, Ended, Want},
+    desired::{Route, RouteKind},
+    Now,
+};
+use buckthornfall_platform::headers;
+use buckthornfall_proto::{digest::fingerprint, ids::ServerId};
+use bytes::Bytes;
+use http::{header, request, HeaderMap, HeaderName, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use log::info;
+use tokio::time::timeout;
+
+use super::{
+    answers, clock,
+    http::{Connection, Error},
+    node::Node,
+};
+
+/// Longest wait for a connection to a server.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+/// Shortest time for one try while another server is left: above the longest usual service time.
+const TRY_MIN: Duration = Duration::from_millis(350);
+/// One try has this many times the server's learned service time.
+const TRY_FACTOR: u32 = 8;
+/// Servers that may refuse a request before its caller is refused.
+const MAX_REFUSALS: usize = 4;
+/// Time that a caller waits if it does not say.
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+/// Part of the time that is kept for the way back to the caller.
+const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// The body of an answer.
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Full<Bytes>),
+    /// What a server still sends.
+    Relay(Relay),
+}
+
+/// The rest of a server's answer.
+pub struct Relay {
+    body: Incoming,
+    conn: Option<Connection>,
+    node: Rc<Node>,
+    server: ServerId,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let how = if self.conn.is_some() { Ended::Cancelled } else { Ended::Refused };
+        let how = if matches!(how, Ended::Refused) { Ended::Cancelled } else { how };
+        self.node.backends.borrow_mut().ended(clock::now(), &self.server, how);
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(body) => match ready!(Pin::new(body).poll_frame(cx)) {
+                Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+                Some(Err(never)) => match never {},
+                None => Poll::Ready(None),
+            },
+            AnswerBody::Relay(relay) => {
+                let frame = ready!(Pin::new(&mut relay.body).poll_frame(cx));
+                if frame.is_none() {
+                    if let Some(conn) = relay.conn.take() {
+                        relay.node.servers.put(conn);
+                    }
+                }
+                Poll::Ready(frame)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            AnswerBody::Whole(body) => body.is_end_stream(),
+            AnswerBody::Relay(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(body) => body.size_hint(),
+            AnswerBody::Relay(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer with all of its body.
+pub fn whole(reply: Response<Bytes>) -> Response<AnswerBody> {
+    reply.map(|body| AnswerBody::Whole(Full::new(body)))
+}
+
+/// How one try at a server ended.
+enum Try {
+    /// The server's answer, to be passed on.
+    Answer(Response<AnswerBody>),
+    /// The server did not run the request.
+    NotRun(String),
+    /// The server failed; its answer, if there is one to pass on.
+    MayHaveRun(String, Option<Response<AnswerBody>>),
+}
+
+/// Sends a request to a server, to others after failures that allow it, and returns the answer.
+pub async fn forward(
+    node: &Rc<Node>,
+    route: &Route,
+    head: &request::Parts,
+    body: &Bytes,
+) -> Response<AnswerBody> {
+    let id = text(&head.headers, &headers::ATTEMPT).to_owned();
+    let until = deadline(route, &head.headers);
+    let service = route.target(fingerprint(&[id.as_bytes()])).clone();
+    let mut tried: Vec<ServerId> = Vec::new();
+    let mut runs = 0;
+    let mut last_answer = None;
+    let started = clock::now();
+    let reply = loop {
+        let left = until.saturating_sub(clock::now());
+        if left.is_zero() {
+            break give_up(runs, last_answer, StatusCode::GATEWAY_TIMEOUT, "out of time");
+        }
+        let want = Want { service: &service, location: &node.location, tried: &tried };
+        let chosen = node.backends.borrow().choose(clock::now(), want).cloned();
+        let Some(server) = chosen.filter(|_| tried.len() < MAX_REFUSALS + runs as usize) else {
+            break give_up(runs, last_answer, StatusCode::BAD_GATEWAY, "no server takes it");
+        };
+        tried.push(server.id.clone());
+        let last = runs + 1 >= route.max_attempts;
+        let end = attempt(node, route, head, body, &server, until, last).await;
+        let (outcome, next) = match end {
+            Try::Answer(reply) => ("answered".to_owned(), Some(reply)),
+            Try::NotRun(reason) => (reason, None),
+            Try::MayHaveRun(reason, answer) => {
+                runs += 1;
+                last_answer = answer.or(last_answer);
+                let again = route.kind == RouteKind::Idempotent && runs < route.max_attempts;
+                let next = (!again).then(|| {
+                    give_up(runs, last_answer.take(), StatusCode::BAD_GATEWAY, "the server failed")
+                });
+                (reason, next)
+            }
+        };
+        info!(request = id.as_str(), route = route.name.as_str(), server = server.id.as_str(), tries = tried.len(),
+            left_ms = left.as_millis() as u64, outcome; "request_sent");
+        if let Some(reply) = next {
+            break reply;
+        }
+    };
+    let took = clock::now().saturating_sub(started);
+    metrics::histogram!("request_seconds", "route" => route.name.clone())
+        .record(took.as_secs_f64());
+    let status = reply.status().as_u16();
+    info!(request = id.as_str(), route = route.name.as_str(), status, tries = tried.len(), runs,
+        took_ms = took.as_millis() as u64; "request_answered");
+    reply
+}
+
+/// The final answer to a request that no server answered well.
+fn give_up(
+    runs: u32,
+    answer: Option<Response<AnswerBody>>,
+    status: StatusCode,
+    reason: &str,
+) -> Response<AnswerBody> {
+    match answer {
+        Some(answer) => answer,
+        None if runs == 0 => whole(answers::not_run(reason)),
+        None => whole(answers::error(status, reason)),
+    }
+}
+
+fn deadline(route: &Route, sent: &HeaderMap) -> Now {
+    let stated = text(sent, &headers::DEADLINE).parse().ok().map(Duration::from_millis);
+    let wait = stated.unwrap_or(DEFAULT_WAIT);
+    let wait = route.timeout.map_or(wait, |timeout| wait.min(timeout));
+    clock::now() + wait.saturating_sub(ANSWER_MARGIN)
+}
+
+async fn attempt(
+    node: &Rc<Node>,
+    route: &Route,
+    head: &request::Parts,
+    body: &Bytes,
+    server: &Backend,
+    until: Now,
+    last: bool,
+) -> Try {
+    let left = until.saturating_sub(clock::now());
+    let learned = node.backends.borrow().service_time(clock::now(), &server.id).unwrap_or_default();
+    let patient = last || route.kind != RouteKind::Idempotent;
+    let limit = if patient { left } else { left.min(TRY_MIN.max(learned * TRY_FACTOR)) };
+    let started = clock::now();
+    let guard = InFlight::new(node, &server.id);
+    let end = timeout(limit, exchange(node, route, head, body, server, left)).await;
+    let now = clock::now();
+    let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
+    match end {
+        Ok(Ok((reply, conn))) => judge(node, route, guard, reply, conn, took, left).await,
+        Ok(Err(e @ Error::Connect { .. })) => {
+            guard.end(Ended::Failed);
+            Try::NotRun(e.to_string())
+        }
+        Ok(Err(e)) => {
+            guard.end(if e.is_stale_connection() { Ended::Cancelled } else { Ended::Failed });
+            Try::MayHaveRun(e.to_string(), None)
+        }
+        Err(_) => {
+            guard.end(Ended::Failed);
+            Try::MayHaveRun(format!("no answer in {} ms", limit.as_millis()), None)
+        }
+    }
+}
+
+async fn exchange(
+    node: &Rc<Node>,
+    route: &Route,
+    head: &request::Parts,
+    body: &Bytes,
+    server: &Backend,
+    left: Duration,
+) -> Result<(Response<Received>, Connection), Error> {
+    let mut conn = node.servers.get(server.addr, CONNECT_LIMIT.min(left)).await?;
+    let reply = conn.send(message(head, body, server, left)).await?;
+    let streams = route.kind == RouteKind::Stream && reply.status() == StatusCode::OK;
+    let reply = if streams {
+        reply.map(Received::Streaming)
+    } else {
+        conn.read(reply).await?.map(Received::Whole)
+    };
+    Ok((reply, conn))
+}
+
+/// What was read of a server's answer.
+enum Received {
+    Whole(Bytes),
+    Streaming(Incoming),
+}
+
+fn message(
+    head: &request::Parts,
+    body: &Bytes,
+    server: &Backend,
+    left: Duration,
+) -> Request<Bytes> {
+    let mut message = Request::new(body.clone());
+    *message.method_mut() = head.method.clone();
+    let path = head.uri.path_and_query().cloned();
+    *message.uri_mut() = path.map(http::Uri::from).unwrap_or_default();
+    for (name, value) in &head.headers {
+        if !CONNECTION_HEADERS.contains(name) {
+            message.headers_mut().append(name, value.clone());
+        }
+    }
+    let left = left.as_millis().to_string();
+    let left = left.parse().expect("a number is a header value");
+    message.headers_mut().insert(headers::DEADLINE, left);
+    if let Ok(id) = server.id.parse() {
+        message.headers_mut().insert(headers::EXPECT_SERVER, id);
+    }
+    message
+}
+
+async fn judge(
+    node: &Rc<Node>,
+    route: &Route,
+    guard: InFlight,
+    reply: Response<Received>,
+    conn: Connection,
+    took: Duration,
+    _left: Duration,
+) -> Try {
+    let status = reply.status();
+    let not_run = reply.headers().contains_key(headers::NOT_RUN);
+    if not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        guard.end(Ended::Refused);
+        node.servers.put(conn);
+        return Try::NotRun(format!("refused with {}", status.as_u16()));
+    }
+    let proved = reply.headers().contains_key(headers::PROOF)
+        && reply.headers().contains_key(headers::ATTEMPT);
+    if !proved || reply.headers().contains_key(header::CONTENT_ENCODING) {
+        guard.end(Ended::Failed);
+        return Try::MayHaveRun(format!("{} without proof", status.as_u16()), None);
+    }
+    let mut reply = reply;
+    CONNECTION_HEADERS.iter().for_each(|name| {
+        reply.headers_mut().remove(name);
+    });
+    let (head, body) = reply.into_parts();
+    let body = match body {
+        Received::Whole(body) => {
+            node.servers.put(conn);
+            guard.end(Ended::Answered(took));
+            AnswerBody::Whole(Full::new(body))
+        }
+        Received::Streaming(body) => AnswerBody::Relay(guard.relay(body, conn)),
+    };
+    let reply = Response::from_parts(head, body);
+    if status.is_server_error() && route.kind == RouteKind::Idempotent {
+        return Try::MayHaveRun(format!("failed with {}", status.as_u16()), Some(reply));
+    }
+    Try::Answer(reply)
+}
+
+/// A request at a server; counted as cancelled if its future is dropped.
+struct InFlight {
+    node: Rc<Node>,
+    server: Option<ServerId>,
+}
+
+impl InFlight {
+    fn new(node: &Rc<Node>, server: &ServerId) -> InFlight {
+        node.backends.borrow_mut().started(server);
+        InFlight { node: Rc::clone(node), server: Some(server.clone()) }
+    }
+
+    fn end(mut self, how: Ended) {
+        if let Some(server) = self.server.take() {
+            self.node.backends.borrow_mut().ended(clock::now(), &server, how);
+        }
+    }
+
+    fn relay(mut self, body: Incoming, conn: Connection) -> Relay {
+        let server = self.server.take().unwrap_or_default();
+        Relay { body, conn: Some(conn), node: Rc::clone(&self.node), server }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(server) = self.server.take() {
+            self.node.backends.borrow_mut().ended(clock::now(), &server, Ended::Cancelled);
+        }
+    }
+}
+
+/// The value of a header; empty if it is absent or not text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/node.rs
@@ -0,0 +1,167 @@
+//! What the parts of one daemon share. All of it lives on one thread.
+
+use std::{
+    cell::{Cell, OnceCell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
+
+use buckthornfall_core::{
+    backends::{Backends, Location},
+    desired::{Desired, InForce},
+    job::JobId,
+    members::Members,
+    store::{RowKey, RowVersion},
+    weights::Plan,
+};
+use buckthornfall_platform::settings::NodeSettings;
+use buckthornfall_proto::messages::{JobRow, JobState, MemberState};
+use metrics_exporter_prometheus::PrometheusHandle;
+use rustc_hash::{FxHashMap, FxHashSet};
+use stakker::{Actor, Deferrer, Stakker};
+use tokio::sync::Notify;
+
+use super::{duty::Duty, http::Pool, rows, runner::Runner, store::Store};
+
+/// A job as its row shows it.
+#[derive(Debug, Clone)]
+pub struct KnownJob {
+    /// The row.
+    pub row: JobRow,
+    /// Version of the row.
+    pub version: RowVersion,
+}
+
+/// The actors, and how to reach them from a task.
+pub struct Actors {
+    pub deferrer: Deferrer,
+    pub wake: Rc<Notify>,
+    pub runner: Actor<Runner>,
+    pub duty: Actor<Duty>,
+}
+
+/// One daemon.
+pub struct Node {
+    pub settings: NodeSettings,
+    pub location: Location,
+    pub store: Store,
+    /// Connections to servers.
+    pub servers: Pool,
+    pub metrics: PrometheusHandle,
+    pub desired: RefCell<InForce>,
+    pub backends: RefCell<Backends>,
+    pub members: RefCell<Members>,
+    pub jobs: RefCell<FxHashMap<JobId, KnownJob>>,
+    /// Jobs whose text is being read.
+    pub loading: RefCell<FxHashSet<JobId>>,
+    /// The plan that the store holds.
+    pub plan: RefCell<Plan>,
+    pub state: Cell<MemberState>,
+    /// Requests of callers that have no final answer yet.
+    pub inflight: Cell<usize>,
+    /// Whether each table has been read whole.
+    pub tables_read: Cell<u8>,
+    pub stop: Notify,
+    pub actors: OnceCell<Actors>,
+}
+
+/// Tables that must be read before a daemon serves.
+pub const TABLES: u8 = 3;
+
+impl Node {
+    pub fn new(settings: NodeSettings, metrics: PrometheusHandle) -> Rc<Node> {
+        let location = settings.location();
+        Rc::new(Node {
+            store: Store::new(settings.store),
+            location,
+            servers: Pool::default(),
+            metrics,
+            desired: RefCell::default(),
+            backends: RefCell::default(),
+            members: RefCell::new(Members::new(settings.host.clone())),
+            jobs: RefCell::default(),
+            loading: RefCell::default(),
+            plan: RefCell::default(),
+            state: Cell::new(MemberState::Starting),
+            inflight: Cell::new(0),
+            tables_read: Cell::new(0),
+            stop: Notify::new(),
+            actors: OnceCell::new(),
+            settings,
+        })
+    }
+
+    /// The desired state in force.
+    pub fn desired(&self) -> Option<Arc<Desired>> {
+        self.desired.borrow().get().cloned()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.state.get() == MemberState::Leaving
+    }
+
+    /// Serves from when all tables were read and a desired state is known.
+    pub fn serve_if_ready(&self) -> bool {
+        let known = self.tables_read.get() >= TABLES && self.desired.borrow().get().is_some();
+        let starts = known && self.state.get() == MemberState::Starting;
+        if starts {
+            self.state.set(MemberState::Serving);
+        }
+        starts
+    }
+
+    /// Runs `f` on the actor of the jobs, later on the same thread.
+    pub fn runner(&self, f: impl FnOnce(&mut Runner, &mut stakker::Cx<'_, Runner>) + 'static) {
+        let Some(actors) = self.actors.get() else { return };
+        let actor = actors.runner.clone();
+        actors.deferrer.defer(move |s: &mut Stakker| actor.apply(s, f));
+        actors.wake.notify_one();
+    }
+
+    /// Runs `f` on the actor of the duty, later on the same thread.
+    pub fn duty(&self, f: impl FnOnce(&mut Duty, &mut stakker::Cx<'_, Duty>) + 'static) {
+        let Some(actors) = self.actors.get() else { return };
+        let actor = actors.duty.clone();
+        actors.deferrer.defer(move |s: &mut Stakker| actor.apply(s, f));
+        actors.wake.notify_one();
+    }
+
+    /// Takes the row of a job; an older version of it changes nothing.
+    pub fn on_job(self: &Rc<Node>, id: &str, row: JobRow, version: RowVersion) {
+        let known = self.jobs.borrow().get(id).map(|known| known.version);
+        if known.is_some_and(|known| known >= version) {
+            return;
+        }
+        let ours = row.state == JobState::Open && row.owner == self.settings.host;
+        if known.is_none() && row.state == JobState::Open {
+            let (model, work) = (row.model.clone(), row.work);
+            self.duty(move |duty, _| duty.on_job(&model, work));
+        }
+        self.jobs.borrow_mut().insert(id.to_owned(), KnownJob { row, version });
+        if ours {
+            self.start_job(id);
+        } else {
+            let id = id.to_owned();
+            self.runner(move |runner, cx| runner.close(cx, &id));
+        }
+    }
+
+    /// Reads a job's text and log, and runs it.
+    pub fn start_job(self: &Rc<Node>, id: &str) {
+        if !self.loading.borrow_mut().insert(id.to_owned()) {
+            return;
+        }
+        let node = Rc::clone(self);
+        let id = id.to_owned();
+        tokio::task::spawn_local(async move {
+            super::submissions::load(&node, &id).await;
+            node.loading.borrow_mut().remove(&id);
+        });
+    }
+
+    /// Name of the row of a job.
+    pub fn job_key(id: &str) -> RowKey {
+        RowKey::new(rows::FLEET, "", &format!("{}{id}", rows::JOB))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/runner.rs
@@ -0,0 +1,227 @@
+//! The actor that runs this daemon's jobs.
+
+use std::{rc::Rc, time::Duration};
+
+use buckthornfall_core::{
+    backends::Ended,
+    job::{AppendEnd, Batch, JobAction, JobId, JobPolicy, JobSpec, Jobs, RunEnd, RunId, ScoreEnd},
+    store::{StoreFailure, StoreTx, TxEnd},
+};
+use buckthornfall_proto::messages::{JobState, ResultRow};
+use log::info;
+use rustc_hash::FxHashMap;
+use stakker::{after, CX};
+use tokio::task::AbortHandle;
+
+use super::{
+    clock,
+    node::Node,
+    rows, score,
+    stream::{self, Event, RunRequest},
+};
+
+/// Time between two looks at what can be started without an event.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The jobs that this daemon runs, with their tasks.
+pub struct Runner {
+    node: Rc<Node>,
+    jobs: Jobs,
+    tasks: FxHashMap<RunId, AbortHandle>,
+}
+
+impl Runner {
+    pub fn init(cx: CX![], node: Rc<Node>) -> Option<Runner> {
+        after!(TICK, [cx], tick());
+        Some(Runner { node, jobs: Jobs::default(), tasks: FxHashMap::default() })
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        self.advance(Vec::new());
+    }
+
+    /// Starts to run a job.
+    pub fn open(
+        &mut self,
+        _: CX![],
+        id: &str,
+        spec: JobSpec,
+        policy: JobPolicy,
+        listed: &[ResultRow],
+    ) {
+        let ours = self.node.jobs.borrow().get(id).is_some_and(|job| {
+            job.row.state == JobState::Open && job.row.owner == self.node.settings.host
+        });
+        if !ours || self.jobs.is_open(id) {
+            return;
+        }
+        info!(job = id, samples = spec.samples.len(), listed = listed.len(), model = spec.model.as_str(),
+            min_version = spec.min_version; "job_opened");
+        self.jobs.open(clock::now(), id, spec, policy, listed);
+        self.advance(Vec::new());
+    }
+
+    /// Stops to run a job.
+    pub fn close(&mut self, _: CX![], id: &str) {
+        if !self.jobs.is_open(id) {
+            return;
+        }
+        info!(job = id; "job_closed");
+        let mut out = Vec::new();
+        self.jobs.close(clock::now(), id, &mut out);
+        self.advance(out);
+    }
+
+    pub fn on_head(&mut self, cx: CX![], run: RunId, version: u64) {
+        if !self.jobs.on_head(run, version) {
+            self.on_run_end(cx, run, &RunEnd::Refused, None);
+        }
+    }
+
+    pub fn on_events(&mut self, cx: CX![], run: RunId, events: Vec<Event>) {
+        for event in events {
+            if !self.jobs.on_event(run, event.id, event.data, event.version) {
+                self.on_run_end(cx, run, &RunEnd::Broken, None);
+                return;
+            }
+        }
+    }
+
+    pub fn on_run_end(&mut self, _: CX![], run: RunId, end: &RunEnd, pace: Option<Duration>) {
+        if let Some(task) = self.tasks.remove(&run) {
+            task.abort();
+        }
+        let mut out = Vec::new();
+        let now = clock::now();
+        let mut backends = self.node.backends.borrow_mut();
+        self.jobs.on_run_end(now, &mut backends, run, end, pace, &mut out);
+        drop(backends);
+        self.advance(out);
+    }
+
+    pub fn on_scored(&mut self, _: CX![], job: &str, sample: usize, end: ScoreEnd) {
+        let mut out = Vec::new();
+        self.jobs.on_scored(clock::now(), job, sample, end, &mut out);
+        self.advance(out);
+    }
+
+    pub fn on_appended(&mut self, _: CX![], job: &str, end: AppendEnd) {
+        let mut out = Vec::new();
+        self.jobs.on_appended(clock::now(), job, end, &mut out);
+        self.advance(out);
+    }
+
+    pub fn on_log(&mut self, _: CX![], job: &str, listed: &[ResultRow]) {
+        let mut out = Vec::new();
+        self.jobs.on_log(job, listed, &mut out);
+        self.advance(out);
+    }
+
+    fn advance(&mut self, mut out: Vec<JobAction>) {
+        let plan = self.node.plan.borrow().clone();
+        let mut backends = self.node.backends.borrow_mut();
+        self.jobs.tick(clock::now(), &mut backends, &plan, &mut out);
+        drop(backends);
+        for action in out {
+            self.act(action);
+        }
+        metrics::gauge!("runs").set(self.jobs.running() as f64);
+    }
+
+    fn act(&mut self, action: JobAction) {
+        match action {
+            JobAction::Run { run, job, sample, server, after } => {
+                self.start_run(run, &job, sample, server, after);
+            }
+            JobAction::Cancel { run, server } => {
+                if let Some(task) = self.tasks.remove(&run) {
+                    task.abort();
+                }
+                self.node.backends.borrow_mut().ended(clock::now(), &server, Ended::Cancelled);
+            }
+            JobAction::Score { job, sample } => self.score(job, sample),
+            JobAction::Append { job, batch } => {
+                let node = Rc::clone(&self.node);
+                tokio::task::spawn_local(append(node, job, batch));
+            }
+            JobAction::ReadLog { job } => {
+                let node = Rc::clone(&self.node);
+                tokio::task::spawn_local(read_log(node, job));
+            }
+            JobAction::GaveUp { job, sample, reason } => {
+                info!(job, sample, reason:? = reason; "sample_given_up");
+            }
+        }
+    }
+
+    fn start_run(
+        &mut self,
+        run: RunId,
+        job: &str,
+        index: usize,
+        server: String,
+        after: Option<u64>,
+    ) {
+        let Some((sample, policy)) = self.jobs.sample(job, index) else { return };
+        let addr = self.node.backends.borrow().get(&server).map(|entry| entry.addr);
+        let host = self.node.jobs.borrow().get(job).map(|job| job.row.host.clone());
+        let (Some(addr), Some(host)) = (addr, host) else {
+            // The server vanished since it was chosen.
+            self.node.runner(move |runner, cx| runner.on_run_end(cx, run, &RunEnd::Refused, None));
+            return;
+        };
+        let req = RunRequest {
+            run,
+            server,
+            addr,
+            host,
+            sample: sample.clone(),
+            after,
+            deadline: policy.give_up_at,
+        };
+        let task = tokio::task::spawn_local(stream::run(Rc::clone(&self.node), req));
+        self.tasks.insert(run, task.abort_handle());
+    }
+
+    fn score(&self, job: JobId, index: usize) {
+        let scorer = self.jobs.sample(&job, index).and_then(|(sample, _)| sample.scorer.clone());
+        let Some(scorer) = scorer else { return };
+        let node = Rc::clone(&self.node);
+        tokio::task::spawn_local(async move {
+            let end = score::ask(&node, &scorer).await;
+            node.clone().runner(move |runner, cx| runner.on_scored(cx, &job, index, end));
+        });
+    }
+}
+
+async fn append(node: Rc<Node>, job: JobId, batch: Batch) {
+    let mut tx = StoreTx::default();
+    let row_bytes = node.settings.row_bytes;
+    for (offset, result) in batch.results.iter().enumerate() {
+        let position = batch.first + offset;
+        tx.expected.push((rows::result_key(&job, position, 0), 0));
+        tx.put.extend(rows::encode_result(&job, position, result, row_bytes));
+    }
+    let end = node.store.transact(&tx).await;
+    let end = match end {
+        TxEnd::Committed(_) => AppendEnd::Done,
+        TxEnd::Conflict(_) => AppendEnd::Conflict,
+        TxEnd::Failed(StoreFailure::Refused) => AppendEnd::Refused,
+        TxEnd::Failed(StoreFailure::Unknown) => AppendEnd::Unknown,
+    };
+    info!(job, first = batch.first, results = batch.results.len(), outcome:? = end; "results_appended");
+    node.clone().runner(move |runner, cx| runner.on_appended(cx, &job, end));
+}
+
+async fn read_log(node: Rc<Node>, job: JobId) {
+    loop {
+        if let Some(page) = node.store.rows(&rows::result_key(&job, 0, 0), None).await {
+            let listed = rows::decode_results(&page.rows);
+            info!(job, listed = listed.len(); "job_log_read");
+            node.clone().runner(move |runner, cx| runner.on_log(cx, &job, &listed));
+            return;
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/score.rs
@@ -0,0 +1,85 @@
+//! The request that scores a finished sample.
+
+use std::{rc::Rc, time::Duration};
+
+use buckthornfall_core::{
+    backends::{Ended, Want},
+    job::{ScoreEnd, Scorer},
+};
+use buckthornfall_platform::headers;
+use buckthornfall_proto::digest::fingerprint;
+use http::{header, Request, StatusCode};
+use log::info;
+
+use super::{clock, node::Node};
+
+/// Time that a scorer has: several times its usual tens of milliseconds.
+const SCORE_LIMIT: Duration = Duration::from_millis(700);
+/// Longest wait for a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// Asks a scorer once.
+pub async fn ask(node: &Rc<Node>, scorer: &Scorer) -> ScoreEnd {
+    let (end, server, detail) = exchange(node, scorer).await;
+    info!(request = scorer.id.as_str(), server, outcome:? = end, detail; "scored");
+    end
+}
+
+async fn exchange(node: &Rc<Node>, scorer: &Scorer) -> (ScoreEnd, String, String) {
+    let (chosen, most) = {
+        let path = scorer.path.split('?').next().unwrap_or_default();
+        let desired = node.desired();
+        let route = desired.as_ref().and_then(|desired| desired.route(&scorer.host, path));
+        let Some(route) = route else {
+            return (ScoreEnd::NoAnswer, String::new(), "no route".to_owned());
+        };
+        let service = route.target(fingerprint(&[scorer.id.as_bytes()]));
+        let want = Want { service, location: &node.location, tried: &[] };
+        (node.backends.borrow().choose(clock::now(), want).cloned(), route.max_attempts)
+    };
+    let Some(server) = chosen else {
+        return (ScoreEnd::NoAnswer, String::new(), "no server".to_owned());
+    };
+    let message = Request::post(&scorer.path)
+        .header(header::HOST, &scorer.host)
+        .header(headers::ATTEMPT, &scorer.id)
+        .header(headers::DEADLINE, SCORE_LIMIT.as_millis().to_string())
+        .header(headers::EXPECT_SERVER, &server.id)
+        .body(scorer.body.clone());
+    let message = match message {
+        Ok(message) => message,
+        Err(e) => return (ScoreEnd::Failed { most }, server.id, e.to_string()),
+    };
+    let started = clock::now();
+    node.backends.borrow_mut().started(&server.id);
+    let reply = node.servers.call(server.addr, message, CONNECT_LIMIT, SCORE_LIMIT).await;
+    let now = clock::now();
+    let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
+    let ended = |how| node.backends.borrow_mut().ended(now, &server.id, how);
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(e) => {
+            ended(if e.is_stale_connection() { Ended::Cancelled } else { Ended::Failed });
+            return (ScoreEnd::NoAnswer, server.id, e.to_string());
+        }
+    };
+    let echoed = reply.headers().get(headers::ATTEMPT).is_some_and(|id| id == scorer.id.as_str());
+    let proof = reply.headers().get(headers::PROOF).and_then(|value| value.to_str().ok());
+    let status = reply.status();
+    let end = match (proof, status) {
+        (Some(proof), status) if status.is_success() && echoed => {
+            ended(Ended::Answered(took));
+            ScoreEnd::Scored(proof.to_owned())
+        }
+        (_, StatusCode::INTERNAL_SERVER_ERROR) if echoed => {
+            ended(Ended::Answered(took));
+            ScoreEnd::Failed { most }
+        }
+        _ => {
+            let refused = reply.headers().contains_key(headers::NOT_RUN);
+            ended(if refused { Ended::Refused } else { Ended::Failed });
+            ScoreEnd::NoAnswer
+        }
+    };
+    (end, server.id, status.to_string())
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/stream.rs
@@ -0,0 +1,236 @@
+//! One run of a sample: the request to a model server and the events of its answer.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use buckthornfall_core::{job::RunEnd, job::RunId, job::SampleSpec, Now};
+use buckthornfall_platform::headers;
+use bytes::{Buf, Bytes, BytesMut};
+use http::{header, HeaderName, HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use super::{clock, http::Connection, node::Node};
+
+/// Longest wait for a connection to a server.
+const CONNECT_LIMIT: Duration = Duration::from_millis(600);
+/// Longest wait for the head of an answer: a load of weights and a full batch before it.
+const HEAD_LIMIT: Duration = Duration::from_millis(3_000);
+/// Longest silence within a stream: a load of weights, with room.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+/// Largest event.
+const EVENT_BYTES: usize = 1 << 20;
+/// Events from which the pace of a server can be told.
+const PACE_EVENTS: u32 = 4;
+
+/// A run to carry out.
+pub struct RunRequest {
+    pub run: RunId,
+    pub server: String,
+    pub addr: SocketAddr,
+    pub host: String,
+    pub sample: SampleSpec,
+    pub after: Option<u64>,
+    pub deadline: Now,
+}
+
+/// An event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Its id.
+    pub id: u64,
+    /// Its data.
+    pub data: Bytes,
+    /// Version of the weights from this event on, if it changes here.
+    pub version: Option<u64>,
+}
+
+/// Carries out a run and reports each event and the end to the actor of the jobs.
+pub async fn run(node: Rc<Node>, req: RunRequest) {
+    let mut pace = Pace::default();
+    let (end, detail) = match exchange(&node, &req, &mut pace).await {
+        Ok(end) => (end, String::new()),
+        Err(Failure { end, detail }) => (end, detail),
+    };
+    let RunRequest { run, server, sample, .. } = req;
+    log::info!(sample = sample.id.as_str(), run, server = server.as_str(), after:? = req.after,
+        events = pace.events, outcome:? = end, detail = detail.as_str(); "run_ended");
+    node.runner(move |runner, cx| runner.on_run_end(cx, run, &end, pace.per_event()));
+}
+
+struct Failure {
+    end: RunEnd,
+    detail: String,
+}
+
+fn fail<T>(end: RunEnd, detail: impl ToString) -> Result<T, Failure> {
+    Err(Failure { end, detail: detail.to_string() })
+}
+
+async fn exchange(node: &Rc<Node>, req: &RunRequest, pace: &mut Pace) -> Result<RunEnd, Failure> {
+    let mut conn = match node.servers.get(req.addr, CONNECT_LIMIT).await {
+        Ok(conn) => conn,
+        Err(e) => return fail(RunEnd::Broken, e),
+    };
+    let message = match message(req) {
+        Ok(message) => message,
+        Err(e) => return fail(RunEnd::Impossible, e),
+    };
+    let reply = match timeout(HEAD_LIMIT, conn.send(message)).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(e)) if e.is_stale_connection() => return fail(RunEnd::Refused, e),
+        Ok(Err(e)) => return fail(RunEnd::Broken, e),
+        Err(_) => return fail(RunEnd::Broken, "no head of an answer in time"),
+    };
+    check_id(&reply, &req.sample.id)?;
+    if reply.status() != StatusCode::OK {
+        return refused(node, conn, reply).await;
+    }
+    let Some(version) = number(&reply, &headers::VERSION) else {
+        return fail(RunEnd::Broken, "the answer names no version");
+    };
+    let run = req.run;
+    node.runner(move |runner, cx| runner.on_head(cx, run, version));
+    read_events(node, run, reply.into_body(), pace).await?;
+    node.servers.put(conn);
+    Ok(RunEnd::Complete)
+}
+
+fn message(req: &RunRequest) -> Result<Request<Bytes>, http::Error> {
+    let left = req.deadline.saturating_sub(clock::now()).as_millis();
+    let mut message = Request::post(&req.sample.path);
+    for (name, value) in &req.sample.headers {
+        message = message.header(name, value);
+    }
+    message = message
+        .header(header::HOST, &req.host)
+        .header(headers::ATTEMPT, &req.sample.id)
+        .header(headers::DEADLINE, left.to_string())
+        .header(headers::EXPECT_SERVER, &req.server);
+    if let Some(after) = req.after {
+        message = message.header(headers::LAST_EVENT, after.to_string());
+    }
+    message.body(req.sample.body.clone())
+}
+
+fn check_id(reply: &Response<Incoming>, id: &str) -> Result<(), Failure> {
+    let echoed = reply.headers().get(headers::ATTEMPT);
+    if echoed.is_some_and(|echoed| echoed == id) {
+        return Ok(());
+    }
+    if reply.headers().contains_key(headers::NOT_RUN) {
+        return fail(RunEnd::Refused, reply.status());
+    }
+    fail(RunEnd::Broken, "the answer is not to this request")
+}
+
+async fn refused(
+    node: &Rc<Node>,
+    conn: Connection,
+    reply: Response<Incoming>,
+) -> Result<RunEnd, Failure> {
+    let status = reply.status();
+    let not_run = reply.headers().contains_key(headers::NOT_RUN);
+    let end = match status {
+        StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
+        _ if not_run || status == StatusCode::MISDIRECTED_REQUEST => RunEnd::Refused,
+        StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed,
+        _ => RunEnd::Broken,
+    };
+    if let Ok(Ok(_)) = timeout(SILENCE_LIMIT, conn.read(reply)).await {
+        node.servers.put(conn);
+    }
+    fail(end, status)
+}
+
+async fn read_events(
+    node: &Rc<Node>,
+    run: RunId,
+    mut body: Incoming,
+    pace: &mut Pace,
+) -> Result<(), Failure> {
+    let mut buf = BytesMut::new();
+    loop {
+        let frame = match timeout(SILENCE_LIMIT, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(e))) => return fail(RunEnd::Broken, e),
+            Ok(None) => break,
+            Err(_) => return fail(RunEnd::Broken, "silence within the stream"),
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        buf.extend_from_slice(&data);
+        let mut events = Vec::new();
+        while let Some(block) = next_block(&mut buf) {
+            let Some(event) = parse_event(&block) else {
+                return fail(RunEnd::Broken, "an event cannot be read");
+            };
+            pace.count();
+            events.push(event);
+        }
+        if !events.is_empty() {
+            node.runner(move |runner, cx| runner.on_events(cx, run, events));
+        }
+        if buf.len() > EVENT_BYTES {
+            return fail(RunEnd::Broken, "an event is too large");
+        }
+    }
+    if buf.is_empty() && pace.events > 0 {
+        return Ok(());
+    }
+    fail(RunEnd::Broken, "the stream ends within an event")
+}
+
+/// Takes the bytes of the next whole event, without the empty line that ends it.
+fn next_block(buf: &mut BytesMut) -> Option<Bytes> {
+    let end = buf.windows(2).position(|pair| pair == b"\n\n")?;
+    let block = buf.split_to(end).freeze();
+    buf.advance(2);
+    Some(block)
+}
+
+fn parse_event(block: &Bytes) -> Option<Event> {
+    let mut id = None;
+    let mut data = None;
+    let mut version = None;
+    for line in block.split(|byte| *byte == b'\n') {
+        let colon = line.iter().position(|byte| *byte == b':')?;
+        let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii_start());
+        if name == b"id" {
+            id = std::str::from_utf8(value).ok()?.trim().parse().ok();
+        } else if name == b"data" {
+            data = Some(block.slice_ref(value));
+        } else if name == headers::VERSION_FIELD.as_bytes() {
+            version = Some(std::str::from_utf8(value).ok()?.trim().parse().ok()?);
+        }
+    }
+    Some(Event { id: id?, data: data?, version })
+}
+
+fn number<B>(reply: &Response<B>, name: &HeaderName) -> Option<u64> {
+    let value: &HeaderValue = reply.headers().get(name)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+/// Time between the events of one run.
+#[derive(Debug, Default, Clone, Copy)]
+struct Pace {
+    events: u32,
+    first: Now,
+    last: Now,
+}
+
+impl Pace {
+    fn count(&mut self) {
+        let now = clock::now();
+        if self.events == 0 {
+            self.first = now;
+        }
+        self.events += 1;
+        self.last = now;
+    }
+
+    fn per_event(self) -> Option<Duration> {
+        let enough = self.events >= PACE_EVENTS;
+        enough.then(|| self.last.saturating_sub(self.first) / (self.events - 1))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -0,0 +1,325 @@
+//! Jobs of callers: accepting them, reading their results and bodies, and ending them.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use buckthornfall_core::{
+    desired::Route,
+    job::{JobPolicy, JobSpec},
+    store::{RowKey, RowVersion, StoreFailure, StoreTx, TxEnd},
+    Now,
+};
+use buckthornfall_platform::jobs as wire;
+use buckthornfall_proto::{
+    digest::fingerprint,
+    messages::{JobRow, JobState, ResultRow},
+};
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use log::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use super::{answers, clock, node::Node, rows};
+
+/// Largest text in one row, so that its encoding fits the row.
+const CHUNK_SHARE: (usize, usize) = (3, 4);
+/// Largest text that is stored as rows; a larger one becomes an object.
+const ROWS_BYTES: usize = 600_000;
+/// Time between two looks at the log for a reader that waits.
+const READ_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest that a reader is kept waiting.
+const READ_WAIT_MAX: Duration = Duration::from_millis(1_000);
+/// Largest answer to a reader, in bytes of text.
+const READ_BYTES: usize = 900_000;
+/// Margin on the time after which a sample may be given up, against clocks that differ.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(500);
+/// Time after which samples may be given up if the route does not say.
+const DEFAULT_TTL: Duration = Duration::from_secs(60);
+/// Tries to write a row whose outcome is not known or that others change.
+const WRITE_TRIES: u32 = 4;
+/// Pause between such tries.
+const WRITE_PAUSE: Duration = Duration::from_millis(60);
+
+/// Accepts a job: 202 once the store holds all of it.
+pub async fn accept(
+    node: &Rc<Node>,
+    route: &Arc<Route>,
+    id: &str,
+    host: &str,
+    path: &str,
+    body: Bytes,
+) -> Response<Bytes> {
+    if node.jobs.borrow().contains_key(id) {
+        info!(job = id; "job_known");
+        return answers::status(StatusCode::ACCEPTED);
+    }
+    let spec = match wire::submitted(&body) {
+        Ok(spec) => spec,
+        Err(e) => {
+            warn!(job = id, error:% = e; "job_unreadable");
+            return answers::error(StatusCode::BAD_REQUEST, &e.to_string());
+        }
+    };
+    if node.store.is_lost() {
+        let silence_ms = node.store.silence().as_millis() as u64;
+        info!(job = id, silence_ms; "job_refused_without_store");
+        return answers::not_run("the store does not answer");
+    }
+    let end = write(node, id, host, path, &spec, &body).await;
+    info!(job = id, route = route.name.as_str(), samples = spec.samples.len(), bytes = body.len(),
+        outcome:? = end.as_ref().map(|(row, version)| (row.owner.clone(), *version)); "job_submitted");
+    match end {
+        Ok((row, version)) => {
+            node.on_job(id, row, version);
+            answers::status(StatusCode::ACCEPTED)
+        }
+        Err(StoreFailure::Refused) => answers::not_run("the store refused the job"),
+        Err(StoreFailure::Unknown) => {
+            answers::error(StatusCode::GATEWAY_TIMEOUT, "the store did not confirm the job")
+        }
+    }
+}
+
+async fn write(
+    node: &Rc<Node>,
+    id: &str,
+    host: &str,
+    path: &str,
+    spec: &JobSpec,
+    body: &Bytes,
+) -> Result<(JobRow, RowVersion), StoreFailure> {
+    let digest = format!("{:016x}", fingerprint(&[body]));
+    let chunks = write_text(node, id, &digest, body).await?;
+    let owner = node.members.borrow().owner(clock::now(), &spec.model).cloned();
+    let row = JobRow {
+        state: JobState::Open,
+        owner: owner.unwrap_or_else(|| node.settings.host.clone()),
+        host: host.to_owned(),
+        path: path.to_owned(),
+        accepted_ms: node.store.clock_ms(),
+        model: spec.model.clone(),
+        samples: u32::try_from(spec.samples.len()).unwrap_or(u32::MAX),
+        digest,
+        chunks,
+        work: spec.samples.iter().map(|sample| sample.expected_tokens).sum(),
+    };
+    let key = Node::job_key(id);
+    let tx = StoreTx::replace(key.clone(), 0, rows::encode(&row));
+    for _ in 0..WRITE_TRIES {
+        match node.store.transact(&tx).await {
+            TxEnd::Committed(version) => return Ok((row, version)),
+            TxEnd::Conflict(found) => {
+                let found = found.into_iter().find(|found| found.key == key);
+                let known = found.and_then(|found| Some((rows::decode(&found)?, found.version)));
+                return known.ok_or(StoreFailure::Unknown);
+            }
+            TxEnd::Failed(StoreFailure::Refused) => return Err(StoreFailure::Refused),
+            // The same write again settles it: it commits, or the conflict shows the row.
+            TxEnd::Failed(StoreFailure::Unknown) => {}
+        }
+    }
+    Err(StoreFailure::Unknown)
+}
+
+/// Stores a job's text; the number of its rows, or 0 for an object.
+async fn write_text(
+    node: &Node,
+    id: &str,
+    digest: &str,
+    body: &Bytes,
+) -> Result<u32, StoreFailure> {
+    if body.len() > ROWS_BYTES {
+        return match node.store.put_object(&object_name(id, digest), body.clone()).await {
+            Some(true) => Ok(0),
+            _ => Err(StoreFailure::Refused),
+        };
+    }
+    let size = node.settings.row_bytes / CHUNK_SHARE.1 * CHUNK_SHARE.0;
+    let chunks = body.len().div_ceil(size);
+    let put = (0..chunks).map(|index| {
+        let end = body.len().min((index + 1) * size);
+        (chunk_key(id, digest, index), body.slice(index * size..end))
+    });
+    let tx = StoreTx { expected: Vec::new(), put: put.collect() };
+    match node.store.transact(&tx).await {
+        TxEnd::Committed(_) => Ok(u32::try_from(chunks).unwrap_or(u32::MAX)),
+        // Without its row a job is not accepted, so nothing of it runs.
+        _ => Err(StoreFailure::Refused),
+    }
+}
+
+fn chunk_key(id: &str, digest: &str, index: usize) -> RowKey {
+    RowKey::new(rows::SUBMISSIONS, id, &format!("{digest}.{index:04}"))
+}
+
+fn object_name(id: &str, digest: &str) -> String {
+    format!("submission-{id}-{digest}")
+}
+
+async fn read_text(node: &Node, id: &str, row: &JobRow) -> Option<Bytes> {
+    if row.chunks == 0 {
+        return node.store.get_object(&object_name(id, &row.digest)).await;
+    }
+    let until = format!("{}.~", row.digest);
+    let page = node.store.rows(&chunk_key(id, &row.digest, 0), Some(&until)).await?;
+    let values: Vec<_> = page.rows.into_iter().filter_map(|row| row.value).collect();
+    (values.len() == row.chunks as usize).then(|| values.concat().into())
+}
+
+/// Reads a job that this daemon owns and hands it to the actor of the jobs.
+pub async fn load(node: &Rc<Node>, id: &str) {
+    loop {
+        let known = node.jobs.borrow().get(id).cloned();
+        let Some(job) = known else { return };
+        if job.row.state != JobState::Open || job.row.owner != node.settings.host {
+            return;
+        }
+        if let Some((spec, policy, listed)) = load_once(node, id, &job.row).await {
+            let id = id.to_owned();
+            node.runner(move |runner, cx| runner.open(cx, &id, spec, policy, &listed));
+            return;
+        }
+        sleep(READ_INTERVAL).await;
+    }
+}
+
+async fn load_once(
+    node: &Rc<Node>,
+    id: &str,
+    row: &JobRow,
+) -> Option<(JobSpec, JobPolicy, Vec<ResultRow>)> {
+    let policy = policy(node, id, row)?;
+    let text = read_text(node, id, row).await?;
+    let spec = match wire::submitted(&text) {
+        Ok(spec) => spec,
+        Err(e) => {
+            warn!(job = id, error:% = e; "stored_job_unreadable");
+            return None;
+        }
+    };
+    let page = node.store.rows(&rows::result_key(id, 0, 0), None).await?;
+    Some((spec, policy, rows::decode_results(&page.rows)))
+}
+
+fn policy(node: &Node, id: &str, row: &JobRow) -> Option<JobPolicy> {
+    let desired = node.desired()?;
+    let path = row.path.split('?').next().unwrap_or_default();
+    let route = desired.route(&row.host, path)?;
+    let accepted: Now = node.store.local(row.accepted_ms);
+    Some(JobPolicy {
+        service: route.target(fingerprint(&[id.as_bytes()])).clone(),
+        max_attempts: route.max_attempts,
+        priority: route.priority,
+        single_version: route.single_version,
+        give_up_at: accepted + route.sample_ttl.unwrap_or(DEFAULT_TTL) + GIVE_UP_MARGIN,
+        accepted,
+    })
+}
+
+/// The row of a job: `Ok(None)` if there is none, `Err` if that cannot be told.
+async fn job_row(node: &Rc<Node>, id: &str) -> Result<Option<(JobRow, RowVersion)>, StoreFailure> {
+    if let Some(known) = node.jobs.borrow().get(id) {
+        return Ok(Some((known.row.clone(), known.version)));
+    }
+    let Some(found) = node.store.row(&Node::job_key(id)).await? else { return Ok(None) };
+    let Some(row) = rows::decode::<JobRow>(&found) else { return Ok(None) };
+    node.on_job(id, row.clone(), found.version);
+    Ok(Some((row, found.version)))
+}
+
+/// Results of a job from position `after` on.
+pub async fn results(node: &Rc<Node>, id: &str, after: usize, wait: Duration) -> Response<Bytes> {
+    let row = match job_row(node, id).await {
+        Ok(Some((row, _))) => row,
+        Ok(None) => return answers::status(StatusCode::NOT_FOUND),
+        Err(_) => return answers::not_run("the store does not answer"),
+    };
+    let total = row.samples as usize;
+    let wait = wait.min(READ_WAIT_MAX);
+    let started = clock::now();
+    loop {
+        let Some(page) = node.store.page(&rows::result_key(id, after, 0), None).await else {
+            return answers::not_run("the store does not answer");
+        };
+        let mut results = rows::decode_results(&page.rows);
+        bound(&mut results);
+        let waited = clock::now().saturating_sub(started);
+        if !results.is_empty() || after >= total || waited + READ_INTERVAL > wait {
+            return wire::results(total, after, &results);
+        }
+        sleep(READ_INTERVAL).await;
+    }
+}
+
+/// Keeps as many results as fit one answer, at least one.
+fn bound(results: &mut Vec<ResultRow>) {
+    let mut bytes = 0;
+    let fits = |result: &ResultRow| {
+        bytes += result.text.len();
+        bytes <= READ_BYTES
+    };
+    let count = results.iter().map(fits).take_while(|fits| *fits).count();
+    results.truncate(count.max(1));
+}
+
+/// The body of a sample.
+pub async fn sample_body(node: &Rc<Node>, id: &str, sample: &str) -> Response<Bytes> {
+    let row = match job_row(node, id).await {
+        Ok(Some((row, _))) => row,
+        Ok(None) => return answers::status(StatusCode::NOT_FOUND),
+        Err(_) => return answers::not_run("the store does not answer"),
+    };
+    let Some(text) = read_text(node, id, &row).await else {
+        return answers::not_run("the store does not answer");
+    };
+    let spec = wire::submitted(&text).ok();
+    let found = spec.and_then(|spec| spec.samples.into_iter().find(|s| s.id == sample));
+    match found {
+        Some(sample) => Response::new(sample.body),
+        None => answers::status(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Ends a job: 200 once the store holds the end.
+pub async fn end(node: &Rc<Node>, id: &str) -> Response<Bytes> {
+    for _ in 0..WRITE_TRIES {
+        let (row, version) = match job_row(node, id).await {
+            Ok(Some(found)) => found,
+            Ok(None) => return answers::status(StatusCode::NOT_FOUND),
+            Err(_) => return answers::not_run("the store does not answer"),
+        };
+        if row.state == JobState::Ended {
+            return answers::status(StatusCode::OK);
+        }
+        let next = JobRow { state: JobState::Ended, ..row };
+        let tx = StoreTx::replace(Node::job_key(id), version, rows::encode(&next));
+        let end = node.store.transact(&tx).await;
+        info!(job = id, row_version = version, outcome:? = end; "job_end");
+        match end {
+            TxEnd::Committed(version) => {
+                node.on_job(id, next, version);
+                return answers::status(StatusCode::OK);
+            }
+            TxEnd::Conflict(found) => {
+                let key = Node::job_key(id);
+                let found = found.into_iter().find(|found| found.key == key);
+                if let Some((row, found)) = found.and_then(|f| Some((rows::decode(&f)?, f))) {
+                    node.on_job(id, row, found.version);
+                }
+            }
+            TxEnd::Failed(_) if node.store.is_lost() => break,
+            TxEnd::Failed(_) => sleep(WRITE_PAUSE).await,
+        }
+    }
+    answers::error(StatusCode::GATEWAY_TIMEOUT, "the store did not confirm the end")
+}
+
+/// Bounds a call by the time that its caller waits.
+pub async fn within(
+    limit: Duration,
+    call: impl std::future::Future<Output = Response<Bytes>>,
+) -> Response<Bytes> {
+    match timeout(limit, call).await {
+        Ok(reply) => reply,
+        Err(_) => answers::error(StatusCode::GATEWAY_TIMEOUT, "the store did not answer in time"),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cli;
 mod clock;
 pub mod daemon;
+pub mod hosted;
 mod http;
 mod io;
 pub mod logging;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,8 +1,15 @@
 //! Logs: one line of key=value pairs for each event.
 
-use std::io::Write;
+use std::{
+    io::{self, Write},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc::{self, Receiver, SyncSender},
+    },
+    thread,
+};
 
-use env_logger::{Builder, Env};
+use env_logger::{Builder, Env, Target};
 use log::kv::{Error, Key, Value, VisitSource};
 
 struct Pairs<'a, W>(&'a mut W);
@@ -21,13 +28,70 @@
 
 /// Sends the log to standard error; `RUST_LOG` sets the level, `info` by default.
 pub fn init() {
-    Builder::from_env(Env::default().default_filter_or("info"))
-        .format(|buf, record| {
-            let time = buf.timestamp_millis();
-            let level = record.level().as_str().to_lowercase();
-            write!(buf, "time={time} level={level} event={}", record.args())?;
-            record.key_values().visit(&mut Pairs(buf)).map_err(std::io::Error::other)?;
-            writeln!(buf)
-        })
-        .init();
+    builder().init();
+}
+
+/// Lines that wait to be written; more are left out and counted.
+const WAITING_LINES: usize = 4_096;
+
+/// Sends the log to standard output without ever waiting for it.
+pub fn init_bounded() {
+    let (tx, rx) = mpsc::sync_channel(WAITING_LINES);
+    let writer = thread::Builder::new().name("log".to_owned()).stack_size(WRITER_STACK_BYTES);
+    if writer.spawn(move || write_lines(&rx)).is_err() {
+        return init();
+    }
+    builder().target(Target::Pipe(Box::new(BoundedLog { tx, left_out: AtomicU64::new(0) }))).init();
+}
+
+const WRITER_STACK_BYTES: usize = 64 * 1024;
+
+struct BoundedLog {
+    tx: SyncSender<Vec<u8>>,
+    /// Lines left out since the last one that was taken.
+    left_out: AtomicU64,
+}
+
+impl Write for BoundedLog {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let mut line = buf.to_vec();
+        let left_out = self.left_out.load(Ordering::Relaxed);
+        if left_out > 0 {
+            line.extend_from_slice(
+                format!("event=log_lines_left_out count={left_out}\n").as_bytes(),
+            );
+        }
+        if self.tx.try_send(line).is_ok() {
+            self.left_out.store(0, Ordering::Relaxed);
+        } else {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes whole batches, so that many lines cost one call.
+fn write_lines(rx: &Receiver<Vec<u8>>) {
+    while let Ok(mut batch) = rx.recv() {
+        rx.try_iter().for_each(|line| batch.extend_from_slice(&line));
+        // Without its output a daemon still serves.
+        drop(io::stdout().write_all(&batch));
+        drop(io::stdout().flush());
+    }
+}
+
+fn builder() -> Builder {
+    let mut builder = Builder::from_env(Env::default().default_filter_or("info"));
+    builder.format(|buf, record| {
+        let time = buf.timestamp_millis();
+        let level = record.level().as_str().to_lowercase();
+        write!(buf, "time={time} level={level} event={}", record.args())?;
+        record.key_values().visit(&mut Pairs(buf)).map_err(std::io::Error::other)?;
+        writeln!(buf)
+    });
+    builder
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, process::ExitCode, thread};
 
-use buckthornfall_daemon::{cli, logging, options::Options, Daemon};
+use buckthornfall_daemon::{cli, hosted, logging, options::Options, Daemon};
 use buckthornfall_proto::{check, settings::Settings};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
@@ -18,6 +18,8 @@
     Settings { file: String, source: check::Error },
     #[snafu(display("{source}"))]
     Start { source: buckthornfall_daemon::daemon::Error },
+    #[snafu(display("{source}"))]
+    Hosted { source: hosted::Error },
     #[snafu(display("cannot watch for signals: {source}"))]
     Signals { source: std::io::Error },
 }
@@ -27,20 +29,31 @@
 
 fn main() -> ExitCode {
     let options = Options::from_matches(&cli::command().get_matches());
-    logging::init();
-    match run(&options) {
+    let result = if options.hosted { run_hosted(&options) } else { run(&options) };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             report(&e);
             match e {
                 Error::Read { .. } | Error::Settings { .. } => ExitCode::from(EXIT_SETTINGS),
-                Error::Start { .. } | Error::Signals { .. } => ExitCode::FAILURE,
+                Error::Start { .. } | Error::Signals { .. } | Error::Hosted { .. } => {
+                    ExitCode::FAILURE
+                }
             }
         }
     }
 }
 
+fn run_hosted(options: &Options) -> Result<(), Error> {
+    if options.check_only {
+        return hosted::check().context(HostedSnafu);
+    }
+    logging::init_bounded();
+    hosted::run().context(HostedSnafu)
+}
+
 fn run(options: &Options) -> Result<(), Error> {
+    logging::init();
     let settings = read(options)?;
     if options.check_only {
         return Ok(());
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -12,13 +12,16 @@
     pub settings: PathBuf,
     /// Only check the settings.
     pub check_only: bool,
+    /// Run on the users' platform, with the settings that it hands out.
+    pub hosted: bool,
 }
 
 impl Options {
     /// Reads the options from the command line.
     pub fn from_matches(matches: &ArgMatches) -> Options {
         let settings = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
-        Options { settings, check_only: matches.get_flag("check") }
+        let check_only = matches.get_flag("check");
+        Options { settings, check_only, hosted: matches.get_flag("hosted") }
     }
 }
 
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -16,7 +16,7 @@
 }
 
 /// Bounds of the latency histograms, in seconds.
-const LATENCY_BUCKETS: [f64; 12] =
+pub(crate) const LATENCY_BUCKETS: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 60.0];
 const STACK_BYTES: usize = 256 * 1024;
 
