Jobs: saved progress, moves from slow servers, shorter failover of the duty

Change: owners save the events of unfinished samples, each under a token of its own; a planned stop saves the rest and hands its jobs over at once. Samples stayed on servers that had turned slow (171 events in 11 s), and a stop of the duty's holder delayed loads by 3 to 6 s.

--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -52,6 +52,8 @@
 pub enum Ended {
     /// The server answered; how long it took, without the network's share.
     Answered(Duration),
+    /// The server answered; `observe` has learned from it.
+    Done,
     /// The server refused the request and did not run it.
     Refused,
     /// No usable answer came.
@@ -64,8 +66,8 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause of a server that keeps failing.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_secs(4);
-/// Pause after a refusal: about the time in which a slot becomes free.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+/// Pause after a refusal: about the time in which a slot becomes free or a load goes on.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(120);
 /// Service time that is assumed until a server has answered.
 const ASSUMED_TIME: Duration = Duration::from_millis(30);
 /// Age after which a learned service time no longer counts.
@@ -100,6 +102,12 @@
         }
     }
 
+    fn learn(&mut self, now: Now, took: Duration) {
+        let took = took.as_secs_f64();
+        let last = self.service_time(now);
+        self.learned = Some((last + LEARNING_RATE * (took - last), now));
+    }
+
     fn service_time(&self, now: Now) -> f64 {
         match self.learned {
             Some((time, at)) if now.saturating_sub(at) < LEARNED_KEPT => time,
@@ -246,6 +254,13 @@
             .map(|known| &known.entry)
     }
 
+    /// Learns from a part of an answer that took `took`, such as one event of a stream.
+    pub fn observe(&mut self, now: Now, id: &str, took: Duration) {
+        if let Some(known) = self.servers.get_mut(id) {
+            known.learn(now, took);
+        }
+    }
+
     /// Counts a request that was sent to a server.
     pub fn started(&mut self, id: &str) {
         if let Some(known) = self.servers.get_mut(id) {
@@ -259,9 +274,7 @@
         known.inflight = known.inflight.saturating_sub(1);
         match how {
             Ended::Answered(took) => {
-                let took = took.as_secs_f64();
-                let last = known.service_time(now);
-                known.learned = Some((last + LEARNING_RATE * (took - last), now));
+                known.learn(now, took);
                 known.failures = 0;
                 known.paused_until = Now::ZERO;
             }
@@ -271,6 +284,7 @@
                 known.failures += 1;
                 known.paused_until = now + pause.min(FAILURE_PAUSE_MAX);
             }
+            Ended::Done => known.failures = 0,
             Ended::Cancelled => {}
         }
     }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -8,6 +8,7 @@
 
 mod log;
 mod order;
+mod progress;
 mod text;
 
 use std::{collections::BTreeMap, time::Duration};
@@ -21,6 +22,7 @@
 
 pub use self::{
     log::{AppendEnd, Batch},
+    progress::{restored, Saving},
     text::Text,
 };
 use crate::{
@@ -150,6 +152,11 @@
         /// Its server.
         server: ServerId,
     },
+    /// End a run whose sample goes on at another server.
+    Move {
+        /// The run.
+        run: RunId,
+    },
     /// Ask a sample's scorer.
     Score {
         /// The job.
@@ -212,8 +219,12 @@
     text: Text,
     failures: u32,
     scorer_failures: u32,
-    /// Breaks and refusals in a row, for the pause before the next run.
+    /// Breaks in a row, for the pause before the next run.
     breaks: u32,
+    /// Events that are saved in the store.
+    saved: usize,
+    /// Rows that they take.
+    saved_rows: u32,
 }
 
 #[derive(Debug)]
@@ -231,6 +242,9 @@
     job: JobId,
     sample: usize,
     server: ServerId,
+    /// Events of this run.
+    events: u32,
+    last_event: Option<Now>,
 }
 
 #[derive(Debug)]
@@ -262,7 +276,7 @@
 }
 
 impl Jobs {
-    /// Starts to run a job whose log holds `listed` already.
+    /// Starts to run a job whose log holds `listed` already, and of which `saved` is known.
     pub fn open(
         &mut self,
         now: Now,
@@ -270,6 +284,7 @@
         spec: JobSpec,
         policy: JobPolicy,
         listed: &[ResultRow],
+        mut saved: FxHashMap<SampleId, Text>,
     ) {
         if self.jobs.contains_key(id) {
             return;
@@ -280,7 +295,10 @@
         let samples: Vec<_> = spec
             .samples
             .iter()
-            .map(|sample| self.new_sample(now, sample, &spec, &policy))
+            .map(|sample| {
+                let saved = saved.remove(&sample.id).unwrap_or_default();
+                self.new_sample(now, sample, &spec, &policy, saved)
+            })
             .collect();
         let mut job = Job { spec, policy, samples, log: log::Log::default(), order };
         job.on_listed(listed);
@@ -341,6 +359,7 @@
         out: &mut Vec<JobAction>,
     ) {
         self.give_up_expired(now, out);
+        self.move_slow_runs(now, backends, plan, out);
         self.start_runs(now, backends, plan, out);
         for (id, job) in &mut self.jobs {
             for (index, sample) in job.samples.iter_mut().enumerate() {
@@ -366,11 +385,20 @@
     /// Takes an event of a run. False if the run is not wanted any more.
     pub fn on_event(
         &mut self,
+        now: Now,
+        backends: &mut Backends,
         run: RunId,
         id: u64,
         data: Bytes,
         version: Option<WeightVersion>,
     ) -> bool {
+        if let Some(known) = self.runs.get_mut(&run) {
+            if let Some(last) = known.last_event {
+                backends.observe(now, &known.server, now.saturating_sub(last));
+            }
+            known.events += 1;
+            known.last_event = Some(now);
+        }
         self.with_sample(run, |job, sample| {
             if let Some(version) = version {
                 sample.text.set_version(version);
@@ -384,18 +412,17 @@
         .unwrap_or(false)
     }
 
-    /// Takes the end of a run, with the time that one event took if there were enough to tell.
+    /// Takes the end of a run.
     pub fn on_run_end(
         &mut self,
         now: Now,
         backends: &mut Backends,
         run: RunId,
         end: &RunEnd,
-        pace: Option<Duration>,
         out: &mut Vec<JobAction>,
     ) {
         let Some(known) = self.runs.remove(&run) else { return };
-        backends.ended(now, &known.server, server_end(end, pace));
+        backends.ended(now, &known.server, server_end(end));
         let Some(job) = self.jobs.get_mut(&known.job) else { return };
         let max_attempts = job.policy.max_attempts;
         let scored = job.spec.samples[known.sample].scorer.is_some();
@@ -418,7 +445,9 @@
             RunEnd::Impossible => {
                 job.give_up(&known.job, known.sample, GiveUp::Impossible, out);
             }
-            RunEnd::Broken | RunEnd::Refused => {
+            // The server is paused, not the sample.
+            RunEnd::Refused => sample.state = State::Waiting(now),
+            RunEnd::Broken => {
                 let pause = RETRY_PAUSE * 2u32.pow(sample.breaks.min(5));
                 sample.breaks += 1;
                 sample.state = State::Waiting(now + pause.min(RETRY_PAUSE_MAX));
@@ -487,16 +516,18 @@
         spec: &SampleSpec,
         job: &JobSpec,
         policy: &JobPolicy,
+        saved: Text,
     ) -> Sample {
-        let kept = self.kept.remove(&spec.id).map(|kept| kept.text);
-        let text = kept.filter(|text| text.fits(job.min_version, policy.single_version));
-        let text = text.unwrap_or_default();
+        let kept = self.kept.remove(&spec.id).map(|kept| kept.text).unwrap_or_default();
+        let fits = |text: &Text| text.fits(job.min_version, policy.single_version);
+        let longest = [saved, kept].into_iter().filter(fits).max_by_key(Text::events);
+        let text = longest.unwrap_or_default();
         let state = match (text.complete, &spec.scorer) {
             (true, Some(_)) => State::Unscored(now),
             (true, None) => State::Finished,
             (false, _) => State::Waiting(now),
         };
-        Sample { state, text, failures: 0, scorer_failures: 0, breaks: 0 }
+        Sample { state, text, failures: 0, scorer_failures: 0, breaks: 0, saved: 0, saved_rows: 0 }
     }
 
     fn with_sample<R>(
@@ -546,6 +577,31 @@
         self.jobs = jobs;
     }
 
+    /// Ends runs at slow servers whose samples can go on at a faster one at once.
+    fn move_slow_runs(
+        &mut self,
+        now: Now,
+        backends: &mut Backends,
+        plan: &Plan,
+        out: &mut Vec<JobAction>,
+    ) {
+        let mut slow: Vec<_> = self.runs.iter().filter(|(_, run)| run.may_move()).collect();
+        slow.sort_by_key(|(id, run)| (std::cmp::Reverse(run.events), **id));
+        let slow: Vec<_> = slow.into_iter().map(|(id, _)| *id).collect();
+        for id in slow {
+            let run = &self.runs[&id];
+            let Some(job) = self.jobs.get_mut(&run.job) else { continue };
+            if job.policy.single_version || !run.is_slower(now, job, backends, plan) {
+                continue;
+            }
+            let run = self.runs.remove(&id).expect("looked up above");
+            job.samples[run.sample].state = State::Waiting(now);
+            backends.ended(now, &run.server, Ended::Cancelled);
+            out.push(JobAction::Move { run: id });
+            self.start_run(now, &run.job, run.sample, backends, plan, out);
+        }
+    }
+
     fn start_runs(
         &mut self,
         now: Now,
@@ -556,27 +612,75 @@
         let mut ids: Vec<_> = self.jobs.keys().cloned().collect();
         ids.sort_by_key(|id| (self.jobs[id].policy.priority, self.jobs[id].policy.accepted));
         for id in ids {
-            let job = self.jobs.get_mut(&id).expect("listed above");
-            for position in 0..job.order.len() {
+            for position in 0..self.jobs[&id].order.len() {
+                let job = &self.jobs[&id];
                 let index = job.order[position];
                 let due = matches!(job.samples[index].state, State::Waiting(at) if at <= now);
                 if !due {
                     continue;
                 }
-                let Some(server) = choose(now, job, backends, plan) else { break };
-                self.next_run += 1;
-                let run = self.next_run;
-                let sample = &mut job.samples[index];
-                sample.state = State::Running(run);
-                sample.text.prepare(job.spec.min_version, job.policy.single_version);
-                backends.started(&server);
-                let after = sample.text.last_event();
-                let known = Run { job: id.clone(), sample: index, server: server.clone() };
-                self.runs.insert(run, known);
-                out.push(JobAction::Run { run, job: id.clone(), sample: index, server, after });
+                if !self.start_run(now, &id, index, backends, plan, out) {
+                    break;
+                }
             }
         }
     }
+
+    /// Starts a run of a sample if a server has a free slot.
+    fn start_run(
+        &mut self,
+        now: Now,
+        id: &JobId,
+        index: usize,
+        backends: &mut Backends,
+        plan: &Plan,
+        out: &mut Vec<JobAction>,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else { return false };
+        let Some(server) = choose(now, job, backends, plan) else { return false };
+        self.next_run += 1;
+        let run = self.next_run;
+        let sample = &mut job.samples[index];
+        sample.state = State::Running(run);
+        sample.text.prepare(job.spec.min_version, job.policy.single_version);
+        backends.started(&server);
+        let after = sample.text.last_event();
+        let known = Run {
+            job: id.clone(),
+            sample: index,
+            server: server.clone(),
+            events: 0,
+            last_event: None,
+        };
+        self.runs.insert(run, known);
+        out.push(JobAction::Run { run, job: id.clone(), sample: index, server, after });
+        true
+    }
+}
+
+/// A move must gain at least this much of a server's time for an event, once a run has made
+/// `events`: few samples are long, and those that are have the most left to gain.
+struct MoveRule {
+    events: u32,
+    gain: f64,
+}
+
+const MOVE_RULES: [MoveRule; 2] =
+    [MoveRule { events: 3, gain: 1.7 }, MoveRule { events: 20, gain: 1.2 }];
+
+impl Run {
+    fn may_move(&self) -> bool {
+        MOVE_RULES.iter().any(|rule| self.events >= rule.events)
+    }
+
+    /// Whether a server with a free slot is faster by enough.
+    fn is_slower(&self, now: Now, job: &Job, backends: &Backends, plan: &Plan) -> bool {
+        let Some(other) = choose(now, job, backends, plan) else { return false };
+        let pace = |id: &str| backends.service_time(now, id).unwrap_or_default().as_secs_f64();
+        let gain = pace(&self.server) / pace(&other).max(f64::EPSILON);
+        other != self.server
+            && MOVE_RULES.iter().any(|rule| self.events >= rule.events && gain >= rule.gain)
+    }
 }
 
 struct JobView {
@@ -633,11 +737,10 @@
         .min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| a.cmp(b)))
 }
 
-fn server_end(end: &RunEnd, pace: Option<Duration>) -> Ended {
-    match (end, pace) {
-        (RunEnd::Complete, Some(pace)) => Ended::Answered(pace),
-        (RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible, _) => Ended::Cancelled,
-        (RunEnd::Broken, _) => Ended::Failed,
-        (RunEnd::Refused, _) => Ended::Refused,
+fn server_end(end: &RunEnd) -> Ended {
+    match end {
+        RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible => Ended::Done,
+        RunEnd::Broken => Ended::Failed,
+        RunEnd::Refused => Ended::Refused,
     }
 }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -21,7 +21,7 @@
 /// Shortest time between two heartbeats of a daemon.
 const MIN_BEAT: Duration = Duration::from_millis(800);
 /// Heartbeats that may be missed before a daemon counts as gone.
-const MISSED_BEATS: u32 = 4;
+const MISSED_BEATS: u32 = 3;
 
 #[derive(Debug, Clone)]
 struct Seen {
--- a/crates/core/src/weights.rs
+++ b/crates/core/src/weights.rs
@@ -118,10 +118,24 @@
 /// One load at a time for this many servers keeps the loads from slowing each other.
 const SERVERS_PER_LOAD: usize = 5;
 
+/// How long a load waits after a job arrived, so that the job's samples start before it: a server
+/// takes no new requests of a model while it loads.
+const START_TIME: Duration = Duration::ZERO;
+
+/// What is known of one model's versions.
+#[derive(Debug, Default)]
+struct Named {
+    version: WeightVersion,
+    /// Oldest version that the newest job allows.
+    needed: WeightVersion,
+    /// When the version was named, or a job arrived, last.
+    changed: Now,
+}
+
 /// The duty of bringing servers to the named versions.
 #[derive(Debug, Default)]
 pub struct Weights {
-    named: BTreeMap<String, WeightVersion>,
+    named: BTreeMap<String, Named>,
     work: FxHashMap<ServerId, Work>,
     plan: Plan,
     demand: Demand,
@@ -131,14 +145,12 @@
 
 impl Weights {
     /// Takes the version that was named for a model; versions only grow.
-    pub fn on_named(&mut self, model: &str, version: WeightVersion) {
-        let known = self.named.entry(model.to_owned()).or_insert(version);
-        *known = (*known).max(version);
-    }
-
-    /// Version that was named for a model.
-    pub fn named(&self, model: &str) -> Option<WeightVersion> {
-        self.named.get(model).copied()
+    pub fn on_named(&mut self, now: Now, model: &str, version: WeightVersion) {
+        let known = self.named.entry(model.to_owned()).or_default();
+        if version > known.version {
+            known.version = version;
+            known.changed = now;
+        }
     }
 
     /// Takes the plan that the holder of the duty stored.
@@ -153,9 +165,12 @@
         &self.plan
     }
 
-    /// Counts the work of a job that was accepted.
-    pub fn on_job(&mut self, now: Now, model: &str, tokens: u64) {
+    /// Counts the work of a job that was accepted, and notes the oldest version that it allows.
+    pub fn on_job(&mut self, now: Now, model: &str, tokens: u64, needed: WeightVersion) {
         self.demand.add(now, model, tokens);
+        let known = self.named.entry(model.to_owned()).or_default();
+        known.needed = known.needed.max(needed);
+        known.changed = now;
     }
 
     /// Starts what is due under the lease with this fencing number.
@@ -178,7 +193,7 @@
         }
         self.drop_done(now, backends);
         let at_once = servers.len().div_ceil(SERVERS_PER_LOAD);
-        for (server, model, version) in self.behind(&servers) {
+        for (server, model, version) in self.behind(now, &servers) {
             if self.loads() >= at_once {
                 return;
             }
@@ -266,24 +281,26 @@
         });
     }
 
-    /// Servers that the plan gives to a model and that do not hold its named version: those with
-    /// the oldest version first, and of each model in turn.
-    fn behind(&self, servers: &[&Backend]) -> Vec<(ServerId, String, WeightVersion)> {
+    /// Servers that the plan gives to a model and that do not hold its named version, those that no
+    /// job can use any more first. The others wait until the samples of the last job have started.
+    fn behind(&self, now: Now, servers: &[&Backend]) -> Vec<(ServerId, String, WeightVersion)> {
         let mut behind = Vec::new();
-        for (model, version) in &self.named {
+        for (model, named) in &self.named {
             for server in servers {
                 let planned = self.plan.servers(model).contains(&server.id);
-                let held = server.version(model).filter(|held| held < version);
-                if let (true, Some(held)) = (planned, held) {
-                    behind.push((version - held, server, model.clone(), *version));
+                let held = server.version(model).filter(|held| *held < named.version);
+                let (true, Some(held)) = (planned, held) else { continue };
+                let useless = held < named.needed;
+                if useless || now.saturating_sub(named.changed) >= START_TIME {
+                    behind.push((!useless, held, &server.id, model, named.version));
                 }
             }
         }
-        behind.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
-        behind
-            .into_iter()
-            .map(|(_, server, model, version)| (server.id.clone(), model, version))
-            .collect()
+        behind.sort_by_key(|(useful, held, id, ..)| (*useful, *held, *id));
+        let owned = |(_, _, id, model, version): (bool, u64, &ServerId, &String, WeightVersion)| {
+            (id.clone(), model.clone(), version)
+        };
+        behind.into_iter().map(owned).collect()
     }
 }
 
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -20,7 +20,6 @@
 mod submissions;
 
 use std::{
-    cell::Cell,
     io,
     rc::Rc,
     time::{Duration, Instant},
@@ -34,7 +33,7 @@
 use stakker::{actor, ret_nop, Stakker};
 use tokio::{
     signal::unix::{signal, SignalKind},
-    sync::Notify,
+    sync::{oneshot, Notify},
     task::LocalSet,
     time::sleep,
 };
@@ -84,9 +83,6 @@
 const MAX_WAIT: Duration = Duration::from_millis(500);
 /// Part of the grace time that is kept for the exit itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(1_200);
-/// How long a leaving daemon goes on with its jobs before it hands them over, as a part of the
-/// grace time.
-const JOB_SHARE: f64 = 0.55;
 /// Shortest time of a planned stop: callers keep addresses for this long.
 const MIN_STOP: Duration = Duration::from_millis(2_200);
 /// Time between two looks at whether a planned stop is done.
@@ -179,24 +175,19 @@
     });
 }
 
-/// A planned stop: no new work, then what is open ends, then the jobs go to other daemons.
+/// A planned stop: no new work, the jobs go to other daemons, then what is open ends.
 async fn stop(node: &Rc<Node>) {
     let started = clock::now();
     node.state.set(MemberState::Leaving);
     info!(inflight = node.inflight.get(); "stopping");
     node.stop.notify_waiters();
     node.duty(|duty, cx| duty.release(cx));
+    give_up_jobs(node).await;
     let grace = node.settings.grace;
-    let handed = Cell::new(false);
     loop {
         sleep(STOP_CHECK).await;
         let passed = clock::now().saturating_sub(started);
-        let busy = owned_jobs(node) > 0;
-        if busy && !handed.get() && passed >= grace.mul_f64(JOB_SHARE) {
-            handed.set(true);
-            feeds::hand_over(node).await;
-        }
-        let quiet = node.inflight.get() == 0 && !busy;
+        let quiet = node.inflight.get() == 0;
         if (passed >= MIN_STOP && quiet) || passed + EXIT_MARGIN >= grace {
             break;
         }
@@ -205,6 +196,17 @@
     info!(inflight = node.inflight.get(), jobs = owned_jobs(node), took_ms; "stopped");
 }
 
+/// Saves the progress of all jobs and hands them to other daemons.
+async fn give_up_jobs(node: &Rc<Node>) {
+    let (tx, rx) = oneshot::channel();
+    node.runner(move |runner, cx| drop(tx.send(runner.suspend(cx))));
+    let saves = rx.await.unwrap_or_default();
+    for save in saves {
+        node.store.transact(&save).await;
+    }
+    feeds::hand_over(node).await;
+}
+
 fn owned_jobs(node: &Node) -> usize {
     use buckthornfall_proto::messages::JobState;
     let jobs = node.jobs.borrow();
--- a/crates/daemon/src/hosted/duty.rs
+++ b/crates/daemon/src/hosted/duty.rs
@@ -13,7 +13,7 @@
 use buckthornfall_platform::servers;
 use buckthornfall_proto::{
     ids::Fence,
-    messages::{Row, Txn, TxnAnswer},
+    messages::{JobRow, Row, Txn, TxnAnswer},
 };
 use bytes::Bytes;
 use log::info;
@@ -33,9 +33,9 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 /// A holder that stops acting this long before its term ends leaves its last order time to arrive.
 const LEASE_TIMES: LeaseTimes = LeaseTimes {
-    term: Duration::from_millis(3_000),
-    margin: Duration::from_millis(1_000),
-    interval: Duration::from_millis(500),
+    term: Duration::from_millis(2_200),
+    margin: Duration::from_millis(700),
+    interval: Duration::from_millis(400),
     timeout: Duration::from_millis(1_300),
 };
 
@@ -58,7 +58,7 @@
     }
 
     pub fn on_named(&mut self, _: CX![], model: &str, version: u64) {
-        self.weights.on_named(model, version);
+        self.weights.on_named(clock::now(), model, version);
         self.advance();
     }
 
@@ -66,8 +66,8 @@
         self.weights.on_plan(plan);
     }
 
-    pub fn on_job(&mut self, model: &str, work: u64) {
-        self.weights.on_job(clock::now(), model, work);
+    pub fn on_job(&mut self, job: &JobRow) {
+        self.weights.on_job(clock::now(), &job.model, job.work, job.min_version);
     }
 
     /// Gives the lease back at a planned stop.
@@ -99,8 +99,11 @@
             self.weights.stop();
         }
         let (fence, since) = self.term?;
-        // The last holder may have sent an order just before this term began.
-        let waited = fence == 1 || now.saturating_sub(since) >= self.node.settings.lease;
+        // The last holder may have sent an order just before this term began; servers that check
+        // fencing numbers refuse what comes after an order of this term.
+        let settings = &self.node.settings;
+        let wait = if settings.servers_check_fences { Duration::ZERO } else { settings.lease };
+        let waited = fence == 1 || now.saturating_sub(since) >= wait;
         (waited && self.weights.may_order(fence)).then_some(fence)
     }
 
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -135,8 +135,8 @@
         }
         let ours = row.state == JobState::Open && row.owner == self.settings.host;
         if known.is_none() && row.state == JobState::Open {
-            let (model, work) = (row.model.clone(), row.work);
-            self.duty(move |duty, _| duty.on_job(&model, work));
+            let job = row.clone();
+            self.duty(move |duty, _| duty.on_job(&job));
         }
         self.jobs.borrow_mut().insert(id.to_owned(), KnownJob { row, version });
         if ours {
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -11,6 +11,8 @@
 pub const SUBMISSIONS: &str = "submissions";
 /// Table of results, a partition a job.
 pub const RESULTS: &str = "results";
+/// Table of what is saved of unfinished samples, a partition a job.
+pub const PROGRESS: &str = "progress";
 /// Start of the keys of daemons.
 pub const MEMBER: &str = "member/";
 /// Start of the keys of jobs.
@@ -33,6 +35,16 @@
     RowKey::new(RESULTS, job, &format!("{position:08}.{chunk:02}"))
 }
 
+/// Name of a row of progress; rows of one sample that one owner saved are in order.
+pub fn progress_key(job: &str, token: &str, sample: usize, number: u32) -> RowKey {
+    RowKey::new(PROGRESS, job, &format!("{token}.{sample:05}.{number:05}"))
+}
+
+/// The token of the owner that saved a row of progress.
+pub fn progress_token(row: &StoredRow) -> &str {
+    row.key.key.split('.').next().unwrap_or_default()
+}
+
 /// Splits a result into rows; the first byte of the first one is the number of rows.
 pub fn encode_result(
     job: &str,
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -4,12 +4,12 @@
 
 use buckthornfall_core::{
     backends::Ended,
-    job::{AppendEnd, Batch, JobAction, JobId, JobPolicy, JobSpec, Jobs, RunEnd, RunId, ScoreEnd},
+    job::{AppendEnd, Batch, JobAction, JobId, Jobs, RunEnd, RunId, Saving, ScoreEnd, Text},
     store::{StoreFailure, StoreTx, TxEnd},
 };
 use buckthornfall_proto::messages::{JobState, ResultRow};
 use log::info;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use stakker::{after, CX};
 use tokio::task::AbortHandle;
 
@@ -18,22 +18,33 @@
     node::Node,
     rows, score,
     stream::{self, Event, RunRequest},
+    submissions::Loaded,
 };
 
 /// Time between two looks at what can be started without an event.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Time between two saves of a job's progress: at most this much of a text is generated again.
+const SAVE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The jobs that this daemon runs, with their tasks.
 pub struct Runner {
     node: Rc<Node>,
     jobs: Jobs,
     tasks: FxHashMap<RunId, AbortHandle>,
+    /// Token of this daemon's rows of progress.
+    token: String,
+    /// Jobs of which a save is in flight.
+    saving: FxHashSet<JobId>,
 }
 
 impl Runner {
     pub fn init(cx: CX![], node: Rc<Node>) -> Option<Runner> {
         after!(TICK, [cx], tick());
-        Some(Runner { node, jobs: Jobs::default(), tasks: FxHashMap::default() })
+        after!(SAVE_INTERVAL, [cx], save());
+        let token = format!("{:016x}", rand::random::<u64>());
+        let saving = FxHashSet::default();
+        Some(Runner { node, jobs: Jobs::default(), tasks: FxHashMap::default(), token, saving })
     }
 
     fn tick(&mut self, cx: CX![]) {
@@ -41,24 +52,68 @@
         self.advance(Vec::new());
     }
 
+    fn save(&mut self, cx: CX![]) {
+        after!(SAVE_INTERVAL, [cx], save());
+        let ids: Vec<_> = self.jobs.ids().cloned().collect();
+        for id in ids {
+            let savings = self.jobs.unsaved(&id);
+            if savings.is_empty() || !self.saving.insert(id.clone()) {
+                continue;
+            }
+            let node = Rc::clone(&self.node);
+            let tx = self.save_tx(&id, &savings);
+            tokio::task::spawn_local(async move {
+                let end = node.store.transact(&tx).await;
+                let saved = matches!(end, TxEnd::Committed(_));
+                node.runner(move |runner, _| runner.on_saved(&id, &savings, saved));
+            });
+        }
+    }
+
+    fn save_tx(&self, id: &str, savings: &[Saving]) -> StoreTx {
+        let put = savings.iter().map(|saving| {
+            let key = rows::progress_key(id, &self.token, saving.sample, saving.number);
+            (key, rows::encode(&saving.row))
+        });
+        StoreTx { expected: Vec::new(), put: put.collect() }
+    }
+
+    fn on_saved(&mut self, id: &str, savings: &[Saving], saved: bool) {
+        self.saving.remove(id);
+        if saved {
+            savings.iter().for_each(|saving| self.jobs.on_saved(id, saving));
+        }
+    }
+
+    /// Ends all runs at a planned stop, and returns what is left to save.
+    pub fn suspend(&mut self, _: CX![]) -> Vec<StoreTx> {
+        let ids: Vec<_> = self.jobs.ids().cloned().collect();
+        let mut saves = Vec::new();
+        let mut out = Vec::new();
+        for id in ids {
+            let savings = self.jobs.unsaved(&id);
+            if !savings.is_empty() {
+                saves.push(self.save_tx(&id, &savings));
+            }
+            self.jobs.close(clock::now(), &id, &mut out);
+        }
+        self.advance(out);
+        saves
+    }
+
     /// Starts to run a job.
-    pub fn open(
-        &mut self,
-        _: CX![],
-        id: &str,
-        spec: JobSpec,
-        policy: JobPolicy,
-        listed: &[ResultRow],
-    ) {
+    pub fn open(&mut self, _: CX![], id: &str, loaded: Loaded) {
+        let Loaded { spec, policy, listed, saved } = loaded;
         let ours = self.node.jobs.borrow().get(id).is_some_and(|job| {
             job.row.state == JobState::Open && job.row.owner == self.node.settings.host
         });
-        if !ours || self.jobs.is_open(id) {
+        if !ours || self.jobs.is_open(id) || self.node.is_leaving() {
             return;
         }
-        info!(job = id, samples = spec.samples.len(), listed = listed.len(), model = spec.model.as_str(),
+        let saved_events: usize = saved.values().map(Text::events).sum();
+        info!(job = id, samples = spec.samples.len(), listed = listed.len(), saved_events, model = spec.model.as_str(),
             min_version = spec.min_version; "job_opened");
-        self.jobs.open(clock::now(), id, spec, policy, listed);
+        self.jobs.open(clock::now(), id, spec, policy, &listed, saved);
         self.advance(Vec::new());
     }
 
@@ -75,27 +130,33 @@
 
     pub fn on_head(&mut self, cx: CX![], run: RunId, version: u64) {
         if !self.jobs.on_head(run, version) {
-            self.on_run_end(cx, run, &RunEnd::Refused, None);
+            self.on_run_end(cx, run, &RunEnd::Refused);
         }
     }
 
     pub fn on_events(&mut self, cx: CX![], run: RunId, events: Vec<Event>) {
         for event in events {
-            if !self.jobs.on_event(run, event.id, event.data, event.version) {
-                self.on_run_end(cx, run, &RunEnd::Broken, None);
+            let node = Rc::clone(&self.node);
+            let mut backends = node.backends.borrow_mut();
+            let now = clock::now();
+            let Event { id, data, version } = event;
+            let wanted = self.jobs.on_event(now, &mut backends, run, id, data, version);
+            drop(backends);
+            if !wanted {
+                self.on_run_end(cx, run, &RunEnd::Broken);
                 return;
             }
         }
     }
 
-    pub fn on_run_end(&mut self, _: CX![], run: RunId, end: &RunEnd, pace: Option<Duration>) {
+    pub fn on_run_end(&mut self, _: CX![], run: RunId, end: &RunEnd) {
         if let Some(task) = self.tasks.remove(&run) {
             task.abort();
         }
         let mut out = Vec::new();
         let now = clock::now();
         let mut backends = self.node.backends.borrow_mut();
-        self.jobs.on_run_end(now, &mut backends, run, end, pace, &mut out);
+        self.jobs.on_run_end(now, &mut backends, run, end, &mut out);
         drop(backends);
         self.advance(out);
     }
@@ -134,6 +195,12 @@
             JobAction::Run { run, job, sample, server, after } => {
                 self.start_run(run, &job, sample, server, after);
             }
+            JobAction::Move { run } => {
+                if let Some(task) = self.tasks.remove(&run) {
+                    task.abort();
+                }
+                info!(run; "run_moved");
+            }
             JobAction::Cancel { run, server } => {
                 if let Some(task) = self.tasks.remove(&run) {
                     task.abort();
@@ -168,11 +235,12 @@
         let host = self.node.jobs.borrow().get(job).map(|job| job.row.host.clone());
         let (Some(addr), Some(host)) = (addr, host) else {
             // The server vanished since it was chosen.
-            self.node.runner(move |runner, cx| runner.on_run_end(cx, run, &RunEnd::Refused, None));
+            self.node.runner(move |runner, cx| runner.on_run_end(cx, run, &RunEnd::Refused));
             return;
         };
         let req = RunRequest {
             run,
+            job: job.to_owned(),
             server,
             addr,
             host,
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -20,12 +20,11 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
 /// Largest event.
 const EVENT_BYTES: usize = 1 << 20;
-/// Events from which the pace of a server can be told.
-const PACE_EVENTS: u32 = 4;
 
 /// A run to carry out.
 pub struct RunRequest {
     pub run: RunId,
+    pub job: String,
     pub server: String,
     pub addr: SocketAddr,
     pub host: String,
@@ -47,15 +46,18 @@
 
 /// Carries out a run and reports each event and the end to the actor of the jobs.
 pub async fn run(node: Rc<Node>, req: RunRequest) {
+    let started = clock::now();
     let mut pace = Pace::default();
     let (end, detail) = match exchange(&node, &req, &mut pace).await {
         Ok(end) => (end, String::new()),
         Err(Failure { end, detail }) => (end, detail),
     };
-    let RunRequest { run, server, sample, .. } = req;
-    log::info!(sample = sample.id.as_str(), run, server = server.as_str(), after:? = req.after,
-        events = pace.events, outcome:? = end, detail = detail.as_str(); "run_ended");
-    node.runner(move |runner, cx| runner.on_run_end(cx, run, &end, pace.per_event()));
+    let RunRequest { run, job, server, sample, .. } = req;
+    let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
+    let first_ms = pace.first.saturating_sub(started).as_millis() as u64;
+    log::info!(job = job.as_str(), sample = sample.id.as_str(), run, server = server.as_str(), after:? = req.after,
+        events = pace.events, first_ms, took_ms, outcome:? = end, detail = detail.as_str(); "run_ended");
+    node.runner(move |runner, cx| runner.on_run_end(cx, run, &end));
 }
 
 struct Failure {
@@ -211,26 +213,18 @@
     value.to_str().ok()?.parse().ok()
 }
 
-/// Time between the events of one run.
+/// Progress of one run.
 #[derive(Debug, Default, Clone, Copy)]
 struct Pace {
     events: u32,
     first: Now,
-    last: Now,
 }
 
 impl Pace {
     fn count(&mut self) {
-        let now = clock::now();
         if self.events == 0 {
-            self.first = now;
+            self.first = clock::now();
         }
         self.events += 1;
-        self.last = now;
-    }
-
-    fn per_event(self) -> Option<Duration> {
-        let enough = self.events >= PACE_EVENTS;
-        enough.then(|| self.last.saturating_sub(self.first) / (self.events - 1))
     }
 }
--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -4,7 +4,7 @@
 
 use buckthornfall_core::{
     desired::Route,
-    job::{JobPolicy, JobSpec},
+    job::{self, JobPolicy, JobSpec, SampleId, Text},
     store::{RowKey, RowVersion, StoreFailure, StoreTx, TxEnd},
     Now,
 };
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use log::{info, warn};
+use rustc_hash::FxHashMap;
 use tokio::time::{sleep, timeout};
 
 use super::{answers, clock, node::Node, rows};
@@ -25,7 +26,7 @@
 /// Largest text that is stored as rows; a larger one becomes an object.
 const ROWS_BYTES: usize = 600_000;
 /// Time between two looks at the log for a reader that waits.
-const READ_INTERVAL: Duration = Duration::from_millis(200);
+const READ_INTERVAL: Duration = Duration::from_millis(80);
 /// Longest that a reader is kept waiting.
 const READ_WAIT_MAX: Duration = Duration::from_millis(1_000);
 /// Largest answer to a reader, in bytes of text.
@@ -97,6 +98,7 @@
         path: path.to_owned(),
         accepted_ms: node.store.clock_ms(),
         model: spec.model.clone(),
+        min_version: spec.min_version,
         samples: u32::try_from(spec.samples.len()).unwrap_or(u32::MAX),
         digest,
         chunks,
@@ -170,23 +172,32 @@
     loop {
         let known = node.jobs.borrow().get(id).cloned();
         let Some(job) = known else { return };
-        if job.row.state != JobState::Open || job.row.owner != node.settings.host {
+        let ours = job.row.state == JobState::Open && job.row.owner == node.settings.host;
+        if !ours || node.is_leaving() {
             return;
         }
-        if let Some((spec, policy, listed)) = load_once(node, id, &job.row).await {
+        if let Some(loaded) = load_once(node, id, &job.row).await {
             let id = id.to_owned();
-            node.runner(move |runner, cx| runner.open(cx, &id, spec, policy, &listed));
+            node.runner(move |runner, cx| runner.open(cx, &id, loaded));
             return;
         }
         sleep(READ_INTERVAL).await;
     }
 }
 
-async fn load_once(
-    node: &Rc<Node>,
-    id: &str,
-    row: &JobRow,
-) -> Option<(JobSpec, JobPolicy, Vec<ResultRow>)> {
+/// A job as it stands in the store.
+pub struct Loaded {
+    /// What was submitted.
+    pub spec: JobSpec,
+    /// What its route asks for.
+    pub policy: JobPolicy,
+    /// Its log.
+    pub listed: Vec<ResultRow>,
+    /// What earlier owners saved of unfinished samples.
+    pub saved: FxHashMap<SampleId, Text>,
+}
+
+async fn load_once(node: &Rc<Node>, id: &str, row: &JobRow) -> Option<Loaded> {
     let policy = policy(node, id, row)?;
     let text = read_text(node, id, row).await?;
     let spec = match wire::submitted(&text) {
@@ -197,7 +208,14 @@
         }
     };
     let page = node.store.rows(&rows::result_key(id, 0, 0), None).await?;
-    Some((spec, policy, rows::decode_results(&page.rows)))
+    let listed = rows::decode_results(&page.rows);
+    let page = node.store.rows(&RowKey::new(rows::PROGRESS, id, ""), None).await?;
+    let saved: Vec<_> = page
+        .rows
+        .iter()
+        .filter_map(|row| Some((rows::progress_token(row).to_owned(), rows::decode(row)?)))
+        .collect();
+    Some(Loaded { spec, policy, listed, saved: job::restored(&saved) })
 }
 
 fn policy(node: &Node, id: &str, row: &JobRow) -> Option<JobPolicy> {
