Weights: at most half of a model's servers load at a time while they are useful

Cause: two of a model's three servers loaded at once just as its next job came, and refused its samples. Runs that are ended early are logged too.

--- a/crates/core/src/weights.rs
+++ b/crates/core/src/weights.rs
@@ -118,9 +118,9 @@
 /// One load at a time for this many servers keeps the loads from slowing each other.
 const SERVERS_PER_LOAD: usize = 5;
 
-/// How long a load waits after a job arrived, so that the job's samples start before it: a server
-/// takes no new requests of a model while it loads.
-const START_TIME: Duration = Duration::ZERO;
+/// Of a model's servers, one in this many loads at a time while the others serve: a server takes no
+/// new requests of a model while it loads.
+const MODEL_SHARE: usize = 2;
 
 /// What is known of one model's versions.
 #[derive(Debug, Default)]
@@ -128,8 +128,6 @@
     version: WeightVersion,
     /// Oldest version that the newest job allows.
     needed: WeightVersion,
-    /// When the version was named, or a job arrived, last.
-    changed: Now,
 }
 
 /// The duty of bringing servers to the named versions.
@@ -145,12 +143,9 @@
 
 impl Weights {
     /// Takes the version that was named for a model; versions only grow.
-    pub fn on_named(&mut self, now: Now, model: &str, version: WeightVersion) {
+    pub fn on_named(&mut self, model: &str, version: WeightVersion) {
         let known = self.named.entry(model.to_owned()).or_default();
-        if version > known.version {
-            known.version = version;
-            known.changed = now;
-        }
+        known.version = known.version.max(version);
     }
 
     /// Takes the plan that the holder of the duty stored.
@@ -170,7 +165,6 @@
         self.demand.add(now, model, tokens);
         let known = self.named.entry(model.to_owned()).or_default();
         known.needed = known.needed.max(needed);
-        known.changed = now;
     }
 
     /// Starts what is due under the lease with this fencing number.
@@ -193,11 +187,13 @@
         }
         self.drop_done(now, backends);
         let at_once = servers.len().div_ceil(SERVERS_PER_LOAD);
-        for (server, model, version) in self.behind(now, &servers) {
-            if self.loads() >= at_once {
+        for Behind { server, model, version, useful } in self.behind(&servers) {
+            if self.loads(None) >= at_once {
                 return;
             }
-            if self.work.contains_key(&server) {
+            let most = (self.plan.servers(&model).len() / MODEL_SHARE).max(1);
+            let serves_enough = !useful || self.loads(Some(&model)) < most;
+            if self.work.contains_key(&server) || !serves_enough {
                 continue;
             }
             let work = Work { model, version, step: Step::Asked, until: now + ANSWER_TIMEOUT };
@@ -270,8 +266,10 @@
         self.work.clear();
     }
 
-    fn loads(&self) -> usize {
-        self.work.values().filter(|work| work.step != Step::Pause).count()
+    /// Loads that go on, of one model or of all.
+    fn loads(&self, model: Option<&str>) -> usize {
+        let of_model = |work: &&Work| model.is_none_or(|model| work.model == model);
+        self.work.values().filter(|work| work.step != Step::Pause).filter(of_model).count()
     }
 
     fn drop_done(&mut self, now: Now, backends: &Backends) {
@@ -282,28 +280,37 @@
     }
 
     /// Servers that the plan gives to a model and that do not hold its named version, those that no
-    /// job can use any more first. The others wait until the samples of the last job have started.
-    fn behind(&self, now: Now, servers: &[&Backend]) -> Vec<(ServerId, String, WeightVersion)> {
+    /// job can use any more first, then those with the oldest version.
+    fn behind(&self, servers: &[&Backend]) -> Vec<Behind> {
         let mut behind = Vec::new();
         for (model, named) in &self.named {
             for server in servers {
                 let planned = self.plan.servers(model).contains(&server.id);
                 let held = server.version(model).filter(|held| *held < named.version);
                 let (true, Some(held)) = (planned, held) else { continue };
-                let useless = held < named.needed;
-                if useless || now.saturating_sub(named.changed) >= START_TIME {
-                    behind.push((!useless, held, &server.id, model, named.version));
-                }
+                let work = Behind {
+                    server: server.id.clone(),
+                    model: model.clone(),
+                    version: named.version,
+                    useful: held >= named.needed,
+                };
+                behind.push((work.useful, held, work));
             }
         }
-        behind.sort_by_key(|(useful, held, id, ..)| (*useful, *held, *id));
-        let owned = |(_, _, id, model, version): (bool, u64, &ServerId, &String, WeightVersion)| {
-            (id.clone(), model.clone(), version)
-        };
-        behind.into_iter().map(owned).collect()
+        behind.sort_by(|a, b| (a.0, a.1, &a.2.server).cmp(&(b.0, b.1, &b.2.server)));
+        behind.into_iter().map(|(.., work)| work).collect()
     }
 }
 
+/// A server without the named version.
+struct Behind {
+    server: ServerId,
+    model: String,
+    version: WeightVersion,
+    /// Whether the newest job can use the version that it holds.
+    useful: bool,
+}
+
 impl Work {
     fn pause(&mut self, now: Now) {
         self.step = Step::Pause;
--- a/crates/daemon/src/hosted/duty.rs
+++ b/crates/daemon/src/hosted/duty.rs
@@ -58,7 +58,7 @@
     }
 
     pub fn on_named(&mut self, _: CX![], model: &str, version: u64) {
-        self.weights.on_named(clock::now(), model, version);
+        self.weights.on_named(model, version);
         self.advance();
     }
 
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -46,17 +46,13 @@
 
 /// Carries out a run and reports each event and the end to the actor of the jobs.
 pub async fn run(node: Rc<Node>, req: RunRequest) {
-    let started = clock::now();
-    let mut pace = Pace::default();
+    let mut pace = Pace::new(&req);
     let (end, detail) = match exchange(&node, &req, &mut pace).await {
         Ok(end) => (end, String::new()),
         Err(Failure { end, detail }) => (end, detail),
     };
-    let RunRequest { run, job, server, sample, .. } = req;
-    let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
-    let first_ms = pace.first.saturating_sub(started).as_millis() as u64;
-    log::info!(job = job.as_str(), sample = sample.id.as_str(), run, server = server.as_str(), after:? = req.after,
-        events = pace.events, first_ms, took_ms, outcome:? = end, detail = detail.as_str(); "run_ended");
+    pace.log(&format!("{end:?}"), &detail);
+    let run = req.run;
     node.runner(move |runner, cx| runner.on_run_end(cx, run, &end));
 }
 
@@ -213,18 +209,53 @@
     value.to_str().ok()?.parse().ok()
 }
 
-/// Progress of one run.
-#[derive(Debug, Default, Clone, Copy)]
+/// Progress of one run; logs a run that is dropped before its end.
 struct Pace {
+    run: RunId,
+    job: String,
+    sample: String,
+    server: String,
+    after: Option<u64>,
     events: u32,
-    first: Now,
+    started: Now,
+    first: Option<Now>,
+    logged: bool,
 }
 
 impl Pace {
-    fn count(&mut self) {
-        if self.events == 0 {
-            self.first = clock::now();
+    fn new(req: &RunRequest) -> Pace {
+        Pace {
+            run: req.run,
+            job: req.job.clone(),
+            sample: req.sample.id.clone(),
+            server: req.server.clone(),
+            after: req.after,
+            events: 0,
+            started: clock::now(),
+            first: None,
+            logged: false,
         }
+    }
+
+    fn count(&mut self) {
         self.events += 1;
+        self.first.get_or_insert_with(clock::now);
+    }
+
+    fn log(&mut self, outcome: &str, detail: &str) {
+        self.logged = true;
+        let since = |at: Now| at.saturating_sub(self.started).as_millis() as u64;
+        let (first_ms, took_ms) = (self.first.map(since), since(clock::now()));
+        log::info!(job = self.job.as_str(), sample = self.sample.as_str(), run = self.run,
+            server = self.server.as_str(), after:? = self.after, events = self.events,
+            first_ms:? = first_ms, took_ms, outcome, detail; "run_ended");
+    }
+}
+
+impl Drop for Pace {
+    fn drop(&mut self) {
+        if !self.logged {
+            self.log("Cancelled", "");
+        }
     }
 }
