--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -72,8 +72,10 @@
 const ASSUMED_TIME: Duration = Duration::from_millis(30);
 /// Age after which a learned service time no longer counts.
 const LEARNED_KEPT: Duration = Duration::from_secs(6);
-/// Share of a new sample in the learned service time.
+/// Share of one answer in the learned service time.
 const LEARNING_RATE: f64 = 0.25;
+/// Share of one part of an answer in the learned service time; a server sends hundreds a second.
+const PART_RATE: f64 = 0.04;
 /// Time without an entry after which a server is forgotten once the store is steady again.
 pub const LAPSED_KEPT: Duration = Duration::from_millis(2_000);
 
@@ -102,10 +104,11 @@
         }
     }
 
-    fn learn(&mut self, now: Now, took: Duration) {
+    fn learn(&mut self, now: Now, took: Duration, rate: f64) {
         let took = took.as_secs_f64();
-        let last = self.service_time(now);
-        self.learned = Some((last + LEARNING_RATE * (took - last), now));
+        let fresh = self.learned.is_some_and(|(_, at)| now.saturating_sub(at) < LEARNED_KEPT);
+        let last = if fresh { self.service_time(now) } else { took };
+        self.learned = Some((last + rate * (took - last), now));
     }
 
     fn service_time(&self, now: Now) -> f64 {
@@ -257,7 +260,7 @@
     /// Learns from a part of an answer that took `took`, such as one event of a stream.
     pub fn observe(&mut self, now: Now, id: &str, took: Duration) {
         if let Some(known) = self.servers.get_mut(id) {
-            known.learn(now, took);
+            known.learn(now, took, PART_RATE);
         }
     }
 
@@ -274,7 +277,7 @@
         known.inflight = known.inflight.saturating_sub(1);
         match how {
             Ended::Answered(took) => {
-                known.learn(now, took);
+                known.learn(now, took, LEARNING_RATE);
                 known.failures = 0;
                 known.paused_until = Now::ZERO;
             }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -221,6 +221,8 @@
     scorer_failures: u32,
     /// Breaks in a row, for the pause before the next run.
     breaks: u32,
+    /// Moves to faster servers.
+    moves: u32,
     /// Events that are saved in the store.
     saved: usize,
     /// Rows that they take.
@@ -527,7 +529,16 @@
             (true, None) => State::Finished,
             (false, _) => State::Waiting(now),
         };
-        Sample { state, text, failures: 0, scorer_failures: 0, breaks: 0, saved: 0, saved_rows: 0 }
+        Sample {
+            state,
+            text,
+            failures: 0,
+            scorer_failures: 0,
+            breaks: 0,
+            moves: 0,
+            saved: 0,
+            saved_rows: 0,
+        }
     }
 
     fn with_sample<R>(
@@ -595,7 +606,9 @@
                 continue;
             }
             let run = self.runs.remove(&id).expect("looked up above");
-            job.samples[run.sample].state = State::Waiting(now);
+            let sample = &mut job.samples[run.sample];
+            sample.state = State::Waiting(now);
+            sample.moves += 1;
             backends.ended(now, &run.server, Ended::Cancelled);
             out.push(JobAction::Move { run: id });
             self.start_run(now, &run.job, run.sample, backends, plan, out);
@@ -658,15 +671,19 @@
     }
 }
 
-/// A move must gain at least this much of a server's time for an event, once a run has made
-/// `events`: few samples are long, and those that are have the most left to gain.
+/// When a run moves: a move costs a connection, so the gain must be large, or small but for one of
+/// the few long samples, which have the most left to gain.
 struct MoveRule {
+    /// Fewest events that the run has made.
     events: u32,
+    /// Least ratio of the times that the two servers take for an event.
     gain: f64,
+    /// Most moves that the sample has made.
+    moves: u32,
 }
 
 const MOVE_RULES: [MoveRule; 2] =
-    [MoveRule { events: 3, gain: 1.7 }, MoveRule { events: 20, gain: 1.2 }];
+    [MoveRule { events: 3, gain: 1.8, moves: 3 }, MoveRule { events: 30, gain: 1.22, moves: 0 }];
 
 impl Run {
     fn may_move(&self) -> bool {
@@ -678,8 +695,11 @@
         let Some(other) = choose(now, job, backends, plan) else { return false };
         let pace = |id: &str| backends.service_time(now, id).unwrap_or_default().as_secs_f64();
         let gain = pace(&self.server) / pace(&other).max(f64::EPSILON);
-        other != self.server
-            && MOVE_RULES.iter().any(|rule| self.events >= rule.events && gain >= rule.gain)
+        let moves = job.samples[self.sample].moves;
+        let fits = |rule: &MoveRule| {
+            self.events >= rule.events && gain >= rule.gain && moves <= rule.moves
+        };
+        other != self.server && MOVE_RULES.iter().any(fits)
     }
 }
 
