Scorers have the time of their route; entries by load; a resumed run may be over

Change: the first request to a scorer has half of its route's time, each further one twice as much; a resumed answer without events completes the sample.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -163,6 +163,8 @@
         job: JobId,
         /// Index of the sample.
         sample: usize,
+        /// Earlier requests of this sample to its scorer.
+        tries: u32,
     },
     /// Append to the job's log in the store.
     Append {
@@ -219,6 +221,7 @@
     text: Text,
     failures: u32,
     scorer_failures: u32,
+    scorer_tries: u32,
     /// Breaks in a row, for the pause before the next run.
     breaks: u32,
     /// Moves to faster servers.
@@ -367,7 +370,9 @@
             for (index, sample) in job.samples.iter_mut().enumerate() {
                 if matches!(sample.state, State::Unscored(at) if at <= now) {
                     sample.state = State::Scoring;
-                    out.push(JobAction::Score { job: id.clone(), sample: index });
+                    let tries = sample.scorer_tries;
+                    sample.scorer_tries += 1;
+                    out.push(JobAction::Score { job: id.clone(), sample: index, tries });
                 }
             }
             job.append(now, id, out);
@@ -534,6 +539,7 @@
             text,
             failures: 0,
             scorer_failures: 0,
+            scorer_tries: 0,
             breaks: 0,
             moves: 0,
             saved: 0,
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -105,18 +105,27 @@
         others.filter(|(host, _)| rendezvous_rank(key, host) > own).count() < count
     }
 
-    /// Addresses for callers at `location`: those of its region, and all if that leaves too few.
+    /// Addresses for callers at `location`: daemons of its region, as many as the load of all
+    /// daemons asks for. Fewer daemons keep fewer connections to the same servers; each of them
+    /// stands in for one that is lost.
     pub fn entries(&self, now: Now, location: &Location, most: usize) -> Vec<String> {
-        let mut near: Vec<_> = self
-            .serving(now)
-            .map(|(host, row)| (location.distance(&row.zone), host, &row.front))
-            .collect();
-        near.sort();
-        let in_region = near.iter().filter(|(distance, ..)| *distance < 2).count();
-        let keep = if in_region >= MIN_ENTRIES { in_region } else { near.len() };
-        near.into_iter().take(keep.min(most)).map(|(_, _, front)| front.clone()).collect()
+        let mut near: Vec<_> = self.serving(now).collect();
+        let rank = |host: &str| rendezvous_rank(ENTRY_KEY, host);
+        near.sort_by_key(|(host, row)| {
+            let other_region = location.distance(&row.zone) > 1;
+            (other_region, std::cmp::Reverse(rank(host)))
+        });
+        let load: u32 = near.iter().map(|(_, row)| row.requests_per_s).sum();
+        let needed = load.div_ceil(REQUESTS_PER_ENTRY) as usize;
+        let count = needed.max(MIN_ENTRIES).min(most);
+        near.into_iter().take(count).map(|(_, row)| row.front.clone()).collect()
     }
 }
 
-/// Fewest addresses that callers should be able to choose from.
-const MIN_ENTRIES: usize = 2;
+/// Key of the order in which daemons become entries.
+const ENTRY_KEY: u64 = 0;
+/// Fewest addresses that callers choose from: the loss of two at once leaves a choice.
+const MIN_ENTRIES: usize = 4;
+/// Requests a second that one daemon takes with a tenth of half a core, from the slopes of
+/// docs/CAPACITY.md.
+const REQUESTS_PER_ENTRY: u32 = 70;
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -50,7 +50,11 @@
 /// Answers a request on any listener.
 pub async fn handle(node: Rc<Node>, req: Request<Incoming>) -> Response<AnswerBody> {
     let _pending = Pending::new(&node);
-    if let Some(question) = interface::question(&req) {
+    let question = interface::question(&req);
+    if question != Some(Question::Ready) {
+        node.requests.set(node.requests.get().saturating_add(1));
+    }
+    if let Some(question) = question {
         return whole(answer(&node, question, &req).await);
     }
     let (head, body) = req.into_parts();
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -19,6 +19,8 @@
 const SERVER_PACE: Duration = Duration::from_millis(120);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Shortest time over which a rate is counted, in seconds.
+const MIN_RATE_TIME: f64 = 0.1;
 /// Time between two looks at the owners of jobs.
 const OWNER_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -189,6 +191,7 @@
     let key = RowKey::new(rows::FLEET, "", &format!("{}{}", rows::MEMBER, node.settings.host));
     let mut incarnation = None;
     let mut beat = 0;
+    let mut last_beat = clock::now();
     loop {
         if incarnation.is_none() {
             incarnation = next_incarnation(&node, &key).await;
@@ -198,12 +201,16 @@
         }
         if let Some(incarnation) = incarnation {
             beat += 1;
+            let since = clock::now().saturating_sub(last_beat).as_secs_f64().max(MIN_RATE_TIME);
+            last_beat = clock::now();
+            let rate = f64::from(node.requests.take()) / since;
             let row = MemberRow {
                 front: node.settings.front.to_string(),
                 zone: node.settings.zone.clone(),
                 state: node.state.get(),
                 incarnation,
                 beat,
+                requests_per_s: rate.round() as u32,
             };
             let tx = StoreTx { expected: Vec::new(), put: vec![(key.clone(), rows::encode(&row))] };
             node.store.transact(&tx).await;
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -59,6 +59,8 @@
     pub state: Cell<MemberState>,
     /// Requests of callers that have no final answer yet.
     pub inflight: Cell<usize>,
+    /// Requests of callers since the last heartbeat.
+    pub requests: Cell<u32>,
     /// Whether each table has been read whole.
     pub tables_read: Cell<u8>,
     pub stop: Notify,
@@ -84,6 +86,7 @@
             plan: RefCell::default(),
             state: Cell::new(MemberState::Starting),
             inflight: Cell::new(0),
+            requests: Cell::new(0),
             tables_read: Cell::new(0),
             stop: Notify::new(),
             actors: OnceCell::new(),
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -207,7 +207,7 @@
                 }
                 self.node.backends.borrow_mut().ended(clock::now(), &server, Ended::Cancelled);
             }
-            JobAction::Score { job, sample } => self.score(job, sample),
+            JobAction::Score { job, sample, tries } => self.score(job, sample, tries),
             JobAction::Append { job, batch } => {
                 let node = Rc::clone(&self.node);
                 tokio::task::spawn_local(append(node, job, batch));
@@ -252,12 +252,12 @@
         self.tasks.insert(run, task.abort_handle());
     }
 
-    fn score(&self, job: JobId, index: usize) {
+    fn score(&self, job: JobId, index: usize, tries: u32) {
         let scorer = self.jobs.sample(&job, index).and_then(|(sample, _)| sample.scorer.clone());
         let Some(scorer) = scorer else { return };
         let node = Rc::clone(&self.node);
         tokio::task::spawn_local(async move {
-            let end = score::ask(&node, &scorer).await;
+            let end = score::ask(&node, &scorer, tries).await;
             node.clone().runner(move |runner, cx| runner.on_scored(cx, &job, index, end));
         });
     }
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -13,20 +13,23 @@
 
 use super::{clock, node::Node};
 
-/// Time that a scorer has: several times its usual tens of milliseconds.
-const SCORE_LIMIT: Duration = Duration::from_millis(700);
+/// Time that a scorer has if its route does not say.
+const DEFAULT_LIMIT: Duration = Duration::from_secs(3);
+/// Part of that time that the first request has, so that a silent server costs less; each further
+/// request has twice as much.
+const FIRST_SHARE: u32 = 2;
 /// Longest wait for a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
-/// Asks a scorer once.
-pub async fn ask(node: &Rc<Node>, scorer: &Scorer) -> ScoreEnd {
-    let (end, server, detail) = exchange(node, scorer).await;
+/// Asks a scorer once; `tries` requests went before.
+pub async fn ask(node: &Rc<Node>, scorer: &Scorer, tries: u32) -> ScoreEnd {
+    let (end, server, detail) = exchange(node, scorer, tries).await;
     info!(request = scorer.id.as_str(), server, outcome:? = end, detail; "scored");
     end
 }
 
-async fn exchange(node: &Rc<Node>, scorer: &Scorer) -> (ScoreEnd, String, String) {
-    let (chosen, most) = {
+async fn exchange(node: &Rc<Node>, scorer: &Scorer, tries: u32) -> (ScoreEnd, String, String) {
+    let (chosen, most, limit) = {
         let path = scorer.path.split('?').next().unwrap_or_default();
         let desired = node.desired();
         let route = desired.as_ref().and_then(|desired| desired.route(&scorer.host, path));
@@ -35,7 +38,10 @@
         };
         let service = route.target(fingerprint(&[scorer.id.as_bytes()]));
         let want = Want { service, location: &node.location, tried: &[] };
-        (node.backends.borrow().choose(clock::now(), want).cloned(), route.max_attempts)
+        let chosen = node.backends.borrow().choose(clock::now(), want).cloned();
+        let whole = route.timeout.unwrap_or(DEFAULT_LIMIT);
+        let limit = whole.min(whole / FIRST_SHARE * 2u32.pow(tries.min(4)));
+        (chosen, route.max_attempts, limit)
     };
     let Some(server) = chosen else {
         return (ScoreEnd::NoAnswer, String::new(), "no server".to_owned());
@@ -43,7 +49,7 @@
     let message = Request::post(&scorer.path)
         .header(header::HOST, &scorer.host)
         .header(headers::ATTEMPT, &scorer.id)
-        .header(headers::DEADLINE, SCORE_LIMIT.as_millis().to_string())
+        .header(headers::DEADLINE, limit.as_millis().to_string())
         .header(headers::EXPECT_SERVER, &server.id)
         .body(scorer.body.clone());
     let message = match message {
@@ -52,7 +58,7 @@
     };
     let started = clock::now();
     node.backends.borrow_mut().started(&server.id);
-    let reply = node.servers.call(server.addr, message, CONNECT_LIMIT, SCORE_LIMIT).await;
+    let reply = node.servers.call(server.addr, message, CONNECT_LIMIT, limit).await;
     let now = clock::now();
     let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
     let ended = |how| node.backends.borrow_mut().ended(now, &server.id, how);
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -84,12 +84,17 @@
     if reply.status() != StatusCode::OK {
         return refused(node, conn, reply).await;
     }
-    let Some(version) = number(&reply, &headers::VERSION) else {
-        return fail(RunEnd::Broken, "the answer names no version");
-    };
     let run = req.run;
-    node.runner(move |runner, cx| runner.on_head(cx, run, version));
+    match number(&reply, &headers::VERSION) {
+        Some(version) => node.runner(move |runner, cx| runner.on_head(cx, run, version)),
+        // Nothing is left to make if the last run broke after its last event.
+        None if req.after.is_some() => {}
+        None => return fail(RunEnd::Broken, "the answer names no version"),
+    }
     read_events(node, run, reply.into_body(), pace).await?;
+    if pace.events == 0 && req.after.is_none() {
+        return fail(RunEnd::Broken, "the stream has no event");
+    }
     node.servers.put(conn);
     Ok(RunEnd::Complete)
 }
@@ -172,7 +177,7 @@
             return fail(RunEnd::Broken, "an event is too large");
         }
     }
-    if buf.is_empty() && pace.events > 0 {
+    if buf.is_empty() {
         return Ok(());
     }
     fail(RunEnd::Broken, "the stream ends within an event")
