A server that is not known yet counts as the mean of its service

Cause: the test `equal_servers_exchange_no_runs` (seen failing first) moved a run to an idle server of the same speed: a server without an answer of its own counted with 30 ms an event where the others take 40. So runs moved to whatever had been idle for 6 s.

--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -106,16 +106,14 @@
 
     fn learn(&mut self, now: Now, took: Duration, rate: f64) {
         let took = took.as_secs_f64();
-        let fresh = self.learned.is_some_and(|(_, at)| now.saturating_sub(at) < LEARNED_KEPT);
-        let last = if fresh { self.service_time(now) } else { took };
+        let last = self.learned(now).unwrap_or(took);
         self.learned = Some((last + rate * (took - last), now));
     }
 
-    fn service_time(&self, now: Now) -> f64 {
-        match self.learned {
-            Some((time, at)) if now.saturating_sub(at) < LEARNED_KEPT => time,
-            _ => ASSUMED_TIME.as_secs_f64(),
-        }
+    /// Learned service time in seconds, unless it is too old.
+    fn learned(&self, now: Now) -> Option<f64> {
+        let (time, at) = self.learned?;
+        (now.saturating_sub(at) < LEARNED_KEPT).then_some(time)
     }
 }
 
@@ -226,10 +224,21 @@
         self.servers.get(id).map_or(0, |known| known.inflight)
     }
 
-    /// Learned service time of a server.
+    /// Learned service time of a server, or the mean of its service while it has none.
     pub fn service_time(&self, now: Now, id: &str) -> Option<Duration> {
         let known = self.servers.get(id)?;
-        Some(Duration::from_secs_f64(known.service_time(now)))
+        let time = known.learned(now).unwrap_or_else(|| self.mean(now, &known.entry.service));
+        Some(Duration::from_secs_f64(time))
+    }
+
+    /// Mean service time of the servers of a service that have a learned one.
+    fn mean(&self, now: Now, service: &str) -> f64 {
+        let of_service = self.servers.values().filter(|known| known.entry.service == service);
+        let learned: Vec<_> = of_service.filter_map(|known| known.learned(now)).collect();
+        if learned.is_empty() {
+            return ASSUMED_TIME.as_secs_f64();
+        }
+        learned.iter().sum::<f64>() / learned.len() as f64
     }
 
     /// The server with the least expected time to an answer; one that failed lately only if no
@@ -240,9 +249,10 @@
                 && !known.entry.draining
                 && !want.tried.contains(&known.entry.id)
         };
+        let mean = self.mean(now, want.service);
         let cost = |known: &Tracked| {
             let load = f64::from(known.inflight) / f64::from(known.entry.slots.max(1));
-            let queued = known.service_time(now) * (1.0 + load * load);
+            let queued = known.learned(now).unwrap_or(mean) * (1.0 + load * load);
             queued + want.location.round_trip(&known.entry.zone).as_secs_f64()
         };
         let paused = |known: &Tracked| known.paused_until > now;
