--- /dev/null
+++ b/crates/core/tests/views.rs
@@ -0,0 +1,198 @@
+//! What a daemon believes of servers, of other daemons and of the desired state.
+
+use std::{sync::Arc, time::Duration};
+
+use buckthornfall_core::{
+    backends::{Backend, Backends, Ended, Location, Want, LAPSED_KEPT},
+    desired::{Desired, InForce, Route, RouteKind, Target},
+    members::Members,
+    Now,
+};
+use buckthornfall_proto::messages::{MemberRow, MemberState};
+
+const NOW: Now = Duration::from_secs(100);
+
+fn backend(id: &str, started_ms: u64) -> Backend {
+    Backend {
+        id: id.to_owned(),
+        service: "desk".to_owned(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        zone: "zone-a".to_owned(),
+        slots: 6,
+        draining: false,
+        started_ms,
+        models: Vec::new(),
+    }
+}
+
+fn location() -> Location {
+    let region = |zone: &str, region: &str| (zone.to_owned(), region.to_owned());
+    let regions = [region("zone-a", "r1"), region("zone-b", "r1"), region("zone-c", "r2")];
+    Location { zone: "zone-a".to_owned(), regions: regions.into_iter().collect() }
+}
+
+fn chosen(backends: &Backends, now: Now) -> Option<String> {
+    let location = location();
+    let want = Want { service: "desk", location: &location, tried: &[] };
+    backends.choose(now, want).map(|entry| entry.id.clone())
+}
+
+#[test]
+fn an_entry_that_lapsed_with_the_store_stays_usable_until_the_store_was_steady_for_a_while() {
+    let mut backends = Backends::default();
+    backends.upsert(backend("s1", 1));
+    backends.remove(NOW, "s1", false);
+    assert_eq!(chosen(&backends, NOW), Some("s1".to_owned()));
+    let steady_since = NOW + Duration::from_secs(5);
+    backends.expire(steady_since, steady_since + LAPSED_KEPT - Duration::from_millis(1));
+    assert!(backends.get("s1").is_some());
+    backends.expire(steady_since, steady_since + LAPSED_KEPT);
+    assert!(backends.get("s1").is_none());
+}
+
+#[test]
+fn an_entry_that_comes_back_is_kept() {
+    let mut backends = Backends::default();
+    backends.upsert(backend("s1", 1));
+    backends.remove(NOW, "s1", false);
+    backends.upsert(backend("s1", 1));
+    backends.expire(NOW, NOW + LAPSED_KEPT * 2);
+    assert!(backends.get("s1").is_some());
+}
+
+#[test]
+fn a_new_start_under_the_same_id_forgets_the_failures_of_the_last_one() {
+    let mut backends = Backends::default();
+    backends.upsert(backend("s1", 1));
+    backends.started("s1");
+    backends.ended(NOW, "s1", Ended::Failed);
+    assert!(!backends.usable(NOW, "s1"));
+    backends.upsert(backend("s1", 2));
+    assert!(backends.usable(NOW, "s1"));
+    assert_eq!(backends.inflight("s1"), 0);
+}
+
+#[test]
+fn a_failed_server_is_the_last_choice_and_a_leaving_one_is_none() {
+    let mut backends = Backends::default();
+    backends.upsert(backend("s1", 1));
+    backends.upsert(backend("s2", 1));
+    backends.started("s1");
+    backends.ended(NOW, "s1", Ended::Failed);
+    assert_eq!(chosen(&backends, NOW), Some("s2".to_owned()));
+    backends.upsert(Backend { draining: true, ..backend("s2", 1) });
+    assert_eq!(chosen(&backends, NOW), Some("s1".to_owned()));
+}
+
+fn member(beat: u64) -> MemberRow {
+    MemberRow {
+        front: "127.0.0.1:1".to_owned(),
+        zone: "zone-a".to_owned(),
+        state: MemberState::Serving,
+        incarnation: 1,
+        beat,
+        requests_per_s: 0,
+    }
+}
+
+#[test]
+fn a_daemon_without_heartbeats_is_gone_but_not_while_the_store_is_away() {
+    let mut members = Members::new("h1".to_owned());
+    members.on_contact(NOW);
+    members.on_row(NOW, "h2", member(1));
+    let mut now = NOW;
+    for _ in 0..10 {
+        now += Duration::from_millis(200);
+        members.on_contact(now);
+    }
+    assert!(members.live(now, "h2"), "2 s without a heartbeat");
+    // The store is away for 20 s: nobody can write, so nobody is judged.
+    now += Duration::from_secs(20);
+    assert!(members.live(now, "h2"));
+    members.on_contact(now);
+    assert!(members.live(now, "h2"));
+    for _ in 0..5 {
+        now += Duration::from_millis(200);
+        members.on_contact(now);
+    }
+    assert!(!members.live(now, "h2"), "3 s of a store that answers");
+}
+
+#[test]
+fn a_late_row_of_an_earlier_start_does_not_count_as_a_heartbeat() {
+    let mut members = Members::new("h1".to_owned());
+    members.on_contact(NOW);
+    members.on_row(NOW, "h2", MemberRow { incarnation: 2, ..member(1) });
+    let mut now = NOW;
+    for beat in 2..20 {
+        now += Duration::from_millis(200);
+        members.on_contact(now);
+        members.on_row(now, "h2", member(beat));
+    }
+    assert!(!members.live(now, "h2"));
+}
+
+#[test]
+fn entries_are_as_many_as_the_load_asks_for_and_near() {
+    let mut members = Members::new("h0".to_owned());
+    members.on_contact(NOW);
+    for index in 0..20 {
+        let zone = if index % 2 == 0 { "zone-b" } else { "zone-c" };
+        let row =
+            MemberRow { zone: zone.to_owned(), front: format!("{zone}/{index}"), ..member(1) };
+        members.on_row(NOW, &format!("h{index}"), row);
+    }
+    let few = members.entries(NOW, &location(), 64);
+    assert_eq!(few.len(), 4);
+    assert!(few.iter().all(|address| address.starts_with("zone-b")), "{few:?}");
+    let busy = MemberRow { requests_per_s: 630, ..member(2) };
+    members.on_row(NOW, "h1", MemberRow { zone: "zone-c".to_owned(), ..busy });
+    assert_eq!(members.entries(NOW, &location(), 64).len(), 9);
+    assert_eq!(members.entries(NOW, &location(), 5).len(), 5);
+}
+
+#[test]
+fn heartbeats_of_400_daemons_stay_within_the_rates_of_the_store() {
+    let mut members = Members::new("h0".to_owned());
+    (0..400).for_each(|index| members.on_row(NOW, &format!("h{index}"), member(1)));
+    let rate = 400.0 / members.beat_interval().as_secs_f64();
+    assert!(rate <= 50.0, "{rate} writes a second");
+}
+
+fn route(prefix: &str, service: &str) -> Arc<Route> {
+    Arc::new(Route {
+        name: prefix.to_owned(),
+        host: "host".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: None,
+        objective: None,
+        completion: None,
+        sample_ttl: None,
+        max_attempts: 1,
+        priority: 0,
+        resumable: false,
+        single_version: false,
+        targets: vec![Target { service: service.to_owned(), weight: 1 }],
+    })
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let routes = vec![route("/a/", "one"), route("/a/b/", "two")];
+    let desired = Desired { routes, ..Desired::default() };
+    let service = |host, path| desired.route(host, path).map(|route| route.target(5).as_str());
+    assert_eq!(service("host", "/a/b/c"), Some("two"));
+    assert_eq!(service("host", "/a/bc"), Some("one"));
+    assert_eq!(service("other", "/a/b/c"), None);
+    assert_eq!(service("host", "/b/"), None);
+}
+
+#[test]
+fn an_older_desired_state_never_replaces_a_newer_one() {
+    let mut in_force = InForce::default();
+    assert!(in_force.install(Desired { version: 7, ..Desired::default() }));
+    assert!(!in_force.install(Desired { version: 6, ..Desired::default() }));
+    assert!(!in_force.install(Desired { version: 7, ..Desired::default() }));
+    assert_eq!(in_force.get().map(|state| state.version), Some(7));
+}
