--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -6,12 +6,14 @@
         atomic::{AtomicU64, Ordering},
         Arc,
     },
-    thread::JoinHandle,
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
 };
 
 use buckthornfall_core::error::{ErrorKind, Refusal};
 use bytes::Bytes;
 use chunked_transfer::Encoder;
+use log::warn;
 use stakker::sync::Channel;
 
 use crate::{
@@ -101,17 +103,25 @@
     }
 
     /// Ends the threads after the requests that they hold.
-    pub fn stop(self) {
-        for _ in &self.threads {
-            self.server.unblock();
+    pub fn stop(mut self) {
+        let until = Instant::now() + STOP_LIMIT;
+        while !self.threads.is_empty() && Instant::now() < until {
+            // A wake-up may go to a thread that ends anyway, so it is sent again.
+            self.threads.iter().for_each(|_| self.server.unblock());
+            thread::sleep(STOP_PAUSE);
+            self.threads.retain(|thread| !thread.is_finished());
         }
-        for thread in self.threads {
-            // A thread that panicked has nothing left to finish.
-            let _ = thread.join();
+        if !self.threads.is_empty() {
+            warn!(threads = self.threads.len(); "http_threads_left");
         }
     }
 }
 
+/// Longest wait for threads at a stop; the end of the process ends those that are stuck.
+const STOP_LIMIT: Duration = Duration::from_secs(2);
+/// Pause between two wake-ups.
+const STOP_PAUSE: Duration = Duration::from_millis(5);
+
 impl Worker {
     fn run(&self) {
         while let Ok(request) = self.server.recv() {
