--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -28,7 +28,7 @@
 use buckthornfall_platform::settings::{self, NodeSettings};
 use buckthornfall_proto::messages::MemberState;
 use log::{info, warn};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 use snafu::{ResultExt, Snafu};
 use stakker::{actor, ret_nop, Stakker};
 use tokio::{
@@ -91,7 +91,14 @@
 /// Reads the settings of the platform and runs until a planned stop has ended.
 pub fn run() -> Result<()> {
     let settings = settings::load().context(SettingsSnafu)?;
-    let metrics = recorder()?;
+    let recorder = recorder()?;
+    let metrics = recorder.handle();
+    metrics::set_global_recorder(recorder).map_err(|e| Error::Metrics { reason: e.to_string() })?;
+    run_with(settings, metrics)
+}
+
+/// Runs with these settings until a planned stop has ended; `metrics` is what it shows.
+pub fn run_with(settings: NodeSettings, metrics: PrometheusHandle) -> Result<()> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
     LocalSet::new().block_on(&runtime, serve(settings, metrics))
@@ -102,10 +109,11 @@
     settings::load().context(SettingsSnafu).map(drop)
 }
 
-fn recorder() -> Result<PrometheusHandle> {
+/// A recorder of metrics.
+pub fn recorder() -> Result<PrometheusRecorder> {
     let builder = PrometheusBuilder::new().set_buckets(&crate::telemetry::LATENCY_BUCKETS);
     let builder = builder.map_err(|e| Error::Metrics { reason: e.to_string() })?;
-    builder.install_recorder().map_err(|e| Error::Metrics { reason: e.to_string() })
+    Ok(builder.build_recorder())
 }
 
 async fn serve(settings: NodeSettings, metrics: PrometheusHandle) -> Result<()> {
