Answers must bear the id of their request; requests that crash servers stop

Cause: the forwarder asked only whether an answer bears an id, not whether it is the request's. A late second answer on a kept connection could reach another caller. Cause: a request that crashes servers was sent on for ever.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod rollout;
 pub mod step;
 pub mod store;
+pub mod suspects;
 pub mod table;
 pub mod weights;
 
--- a/crates/core/src/weights.rs
+++ b/crates/core/src/weights.rs
@@ -181,7 +181,7 @@
         }
         let servers: Vec<_> =
             backends.all().filter(|s| !s.draining && !s.models.is_empty()).collect();
-        if let Some(plan) = self.plan.revise(now, fence, models, &servers, &self.demand) {
+        if let Some(plan) = self.plan.revise(fence, models, &servers, &self.demand) {
             self.plan = plan.clone();
             out.push(WeightAction::SavePlan(plan));
         }
--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -78,7 +78,6 @@
     /// The plan that follows from the servers and the demand of now; `None` if it is this one.
     pub(super) fn revise(
         &self,
-        _now: Now,
         fence: Fence,
         models: &[String],
         servers: &[&Backend],
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -6,7 +6,7 @@
 use buckthornfall_platform::{deployment, servers, store as wire};
 use buckthornfall_proto::{
     ids::ServerId,
-    messages::{JobRow, JobState, MemberRow, MemberState},
+    messages::{JobRow, JobState, MemberRow, MemberState, SuspectRow},
 };
 use log::{info, warn};
 use tokio::time::sleep;
@@ -177,6 +177,13 @@
         if let Some(job) = rows::decode::<JobRow>(row) {
             node.on_job(id, job, row.version);
         }
+    } else if let Some(request) = key.strip_prefix(rows::SUSPECT) {
+        let fingerprint = u64::from_str_radix(request, 16).ok();
+        let suspect = rows::decode::<SuspectRow>(row);
+        if let (Some(fingerprint), Some(suspect)) = (fingerprint, suspect) {
+            let mut suspects = node.suspects.borrow_mut();
+            suspects.on_shared(clock::now(), fingerprint, suspect.crashes);
+        }
     } else if key == rows::PLAN {
         if let Some(plan) = rows::decode(row) {
             let plan = buckthornfall_core::weights::Plan::from_row(plan);
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -15,7 +15,7 @@
 use buckthornfall_platform::headers;
 use buckthornfall_proto::{digest::fingerprint, ids::ServerId};
 use bytes::Bytes;
-use http::{header, request, HeaderMap, HeaderName, Request, Response, StatusCode};
+use http::{header, request, HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use log::info;
@@ -70,8 +70,8 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let how = if self.conn.is_some() { Ended::Cancelled } else { Ended::Refused };
-        let how = if matches!(how, Ended::Refused) { Ended::Cancelled } else { how };
+        // Without its connection the answer was whole.
+        let how = if self.conn.is_some() { Ended::Cancelled } else { Ended::Done };
         self.node.backends.borrow_mut().ended(clock::now(), &self.server, how);
     }
 }
@@ -128,8 +128,23 @@
     Answer(Response<AnswerBody>),
     /// The server did not run the request.
     NotRun(String),
-    /// The server failed; its answer, if there is one to pass on.
-    MayHaveRun(String, Option<Response<AnswerBody>>),
+    /// The server may have run it and gave no good answer.
+    Failed(Failure),
+}
+
+/// A try that may have run.
+struct Failure {
+    reason: String,
+    /// The server's own failure, to be passed on if no other server does better.
+    answer: Option<Response<AnswerBody>>,
+    /// Whether the server closed a new connection while it ran the request.
+    crashed: bool,
+}
+
+impl Try {
+    fn failed(reason: impl ToString) -> Try {
+        Try::Failed(Failure { reason: reason.to_string(), answer: None, crashed: false })
+    }
 }
 
 /// Sends a request to a server, to others after failures that allow it, and returns the answer.
@@ -146,7 +161,18 @@
     let mut runs = 0;
     let mut last_answer = None;
     let started = clock::now();
+    let path = head.uri.path().as_bytes();
+    let request = fingerprint(&[text(&head.headers, &header::HOST).as_bytes(), path, body]);
     let reply = loop {
+        if !node.suspects.borrow().may_run(clock::now(), request) {
+            info!(request = id.as_str(), fingerprint = request; "request_crashes_servers");
+            break give_up(
+                runs,
+                last_answer,
+                StatusCode::BAD_GATEWAY,
+                "the request crashes servers",
+            );
+        }
         let left = until.saturating_sub(clock::now());
         if left.is_zero() {
             break give_up(runs, last_answer, StatusCode::GATEWAY_TIMEOUT, "out of time");
@@ -160,16 +186,22 @@
         let last = runs + 1 >= route.max_attempts;
         let end = attempt(node, route, head, body, &server, until, last).await;
         let (outcome, next) = match end {
-            Try::Answer(reply) => ("answered".to_owned(), Some(reply)),
+            Try::Answer(reply) => {
+                node.suspects.borrow_mut().on_answer(request);
+                ("answered".to_owned(), Some(reply))
+            }
             Try::NotRun(reason) => (reason, None),
-            Try::MayHaveRun(reason, answer) => {
+            Try::Failed(failure) => {
+                if failure.crashed {
+                    node.on_crash(request);
+                }
                 runs += 1;
-                last_answer = answer.or(last_answer);
+                last_answer = failure.answer.or(last_answer);
                 let again = route.kind == RouteKind::Idempotent && runs < route.max_attempts;
                 let next = (!again).then(|| {
                     give_up(runs, last_answer.take(), StatusCode::BAD_GATEWAY, "the server failed")
                 });
-                (reason, next)
+                (failure.reason, next)
             }
         };
         info!(request = id.as_str(), route = route.name.as_str(), server = server.id.as_str(), tries = tried.len(),
@@ -227,18 +259,24 @@
     let now = clock::now();
     let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
     match end {
-        Ok(Ok((reply, conn))) => judge(node, route, guard, reply, conn, took, left).await,
+        Ok(Ok((reply, conn))) => {
+            judge(node, route, guard, reply, conn, head.headers.get(headers::ATTEMPT), took)
+        }
         Ok(Err(e @ Error::Connect { .. })) => {
             guard.end(Ended::Failed);
             Try::NotRun(e.to_string())
         }
         Ok(Err(e)) => {
-            guard.end(if e.is_stale_connection() { Ended::Cancelled } else { Ended::Failed });
-            Try::MayHaveRun(e.to_string(), None)
+            if e.is_stale_connection() {
+                guard.end(Ended::Cancelled);
+                return Try::failed(e);
+            }
+            guard.end(Ended::Failed);
+            Try::Failed(Failure { reason: e.to_string(), answer: None, crashed: true })
         }
         Err(_) => {
             guard.end(Ended::Failed);
-            Try::MayHaveRun(format!("no answer in {} ms", limit.as_millis()), None)
+            Try::failed(format!("no answer in {} ms", limit.as_millis()))
         }
     }
 }
@@ -292,14 +330,14 @@
     message
 }
 
-async fn judge(
+fn judge(
     node: &Rc<Node>,
     route: &Route,
     guard: InFlight,
     reply: Response<Received>,
     conn: Connection,
+    id: Option<&HeaderValue>,
     took: Duration,
-    _left: Duration,
 ) -> Try {
     let status = reply.status();
     let not_run = reply.headers().contains_key(headers::NOT_RUN);
@@ -308,11 +346,11 @@
         node.servers.put(conn);
         return Try::NotRun(format!("refused with {}", status.as_u16()));
     }
-    let proved = reply.headers().contains_key(headers::PROOF)
-        && reply.headers().contains_key(headers::ATTEMPT);
+    let proved =
+        reply.headers().contains_key(headers::PROOF) && reply.headers().get(headers::ATTEMPT) == id;
     if !proved || reply.headers().contains_key(header::CONTENT_ENCODING) {
         guard.end(Ended::Failed);
-        return Try::MayHaveRun(format!("{} without proof", status.as_u16()), None);
+        return Try::failed(format!("{} without proof", status.as_u16()));
     }
     let mut reply = reply;
     CONNECTION_HEADERS.iter().for_each(|name| {
@@ -329,7 +367,8 @@
     };
     let reply = Response::from_parts(head, body);
     if status.is_server_error() && route.kind == RouteKind::Idempotent {
-        return Try::MayHaveRun(format!("failed with {}", status.as_u16()), Some(reply));
+        let reason = format!("failed with {}", status.as_u16());
+        return Try::Failed(Failure { reason, answer: Some(reply), crashed: false });
     }
     Try::Answer(reply)
 }
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -11,17 +11,22 @@
     desired::{Desired, InForce},
     job::JobId,
     members::Members,
-    store::{RowKey, RowVersion},
+    store::{RowKey, RowVersion, StoreTx},
+    suspects::Suspects,
     weights::Plan,
 };
 use buckthornfall_platform::settings::NodeSettings;
-use buckthornfall_proto::messages::{JobRow, JobState, MemberState};
+use buckthornfall_proto::{
+    ids::Fingerprint,
+    messages::{JobRow, JobState, MemberState, SuspectRow},
+};
+use log::info;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rustc_hash::{FxHashMap, FxHashSet};
 use stakker::{Actor, Deferrer, Stakker};
 use tokio::sync::Notify;
 
-use super::{duty::Duty, http::Pool, rows, runner::Runner, store::Store};
+use super::{clock, duty::Duty, http::Pool, rows, runner::Runner, store::Store};
 
 /// A job as its row shows it.
 #[derive(Debug, Clone)]
@@ -51,6 +56,7 @@
     pub desired: RefCell<InForce>,
     pub backends: RefCell<Backends>,
     pub members: RefCell<Members>,
+    pub suspects: RefCell<Suspects>,
     pub jobs: RefCell<FxHashMap<JobId, KnownJob>>,
     /// Jobs whose text is being read.
     pub loading: RefCell<FxHashSet<JobId>>,
@@ -80,6 +86,7 @@
             metrics,
             desired: RefCell::default(),
             backends: RefCell::default(),
+            suspects: RefCell::default(),
             members: RefCell::new(Members::new(settings.host.clone())),
             jobs: RefCell::default(),
             loading: RefCell::default(),
@@ -130,6 +137,19 @@
         actors.wake.notify_one();
     }
 
+    /// Counts a server that died while it ran a request, and tells the other daemons.
+    pub fn on_crash(self: &Rc<Node>, request: Fingerprint) {
+        let crashes = self.suspects.borrow_mut().on_crash(clock::now(), request);
+        let key = RowKey::new(rows::FLEET, "", &format!("{}{request:016x}", rows::SUSPECT));
+        let value = rows::encode(&SuspectRow { crashes });
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let tx = StoreTx { expected: Vec::new(), put: vec![(key, value)] };
+            let end = node.store.transact(&tx).await;
+            info!(fingerprint = request, crashes, outcome:? = end; "request_suspected");
+        });
+    }
+
     /// Takes the row of a job; an older version of it changes nothing.
     pub fn on_job(self: &Rc<Node>, id: &str, row: JobRow, version: RowVersion) {
         let known = self.jobs.borrow().get(id).map(|known| known.version);
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -17,6 +17,8 @@
 pub const MEMBER: &str = "member/";
 /// Start of the keys of jobs.
 pub const JOB: &str = "job/";
+/// Start of the keys of requests that crash servers.
+pub const SUSPECT: &str = "suspect/";
 /// Key of the plan.
 pub const PLAN: &str = "plan";
 
