A text that is begun again is not saved behind the old one

Found by reading the change again. A text that was dropped and begun anew was saved from the number of events that the old one had saved, once it had grown past it; a new owner would have joined the two. The same could follow from the rows of a job that one process opened twice, as it numbered them anew under the same token. Change: the start of a new text resets what counts as saved, and takes the next number so that a save in flight does not count; each opening of a job has a token of its own. Texts are dropped only on routes that ask for a single version, which no site of today has.

Also: the two readers of a caller's waiting time are one; two functions of Jobs that nothing called are gone.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -339,22 +339,11 @@
         Some((job.spec.samples.get(sample)?, &job.policy))
     }
 
-    /// Oldest version that may make tokens of a job.
-    pub fn min_version(&self, job: &str) -> Option<WeightVersion> {
-        self.jobs.get(job).map(|job| job.spec.min_version)
-    }
-
     /// Number of runs.
     pub fn running(&self) -> usize {
         self.runs.len()
     }
 
-    /// Number of samples that wait for a server.
-    pub fn waiting(&self) -> usize {
-        let samples = self.jobs.values().flat_map(|job| &job.samples);
-        samples.filter(|sample| matches!(sample.state, State::Waiting(_))).count()
-    }
-
     /// Starts what can be started now.
     pub fn tick(
         &mut self,
@@ -662,6 +651,11 @@
         let sample = &mut job.samples[index];
         sample.state = State::Running(run);
         sample.text.prepare(job.spec.min_version, job.policy.single_version);
+        if sample.text.is_empty() {
+            sample.saved = 0;
+            // The next number, so that a save of the old text that is in flight does not count.
+            sample.saved_rows += 1;
+        }
         backends.started(&server);
         let after = sample.text.last_event();
         let known = Run {
--- a/crates/core/src/job/progress.rs
+++ b/crates/core/src/job/progress.rs
@@ -65,9 +65,7 @@
         if !unfinished || events < MIN_EVENTS {
             return None;
         }
-        // A text that was started again is saved from its first event.
-        let from = if sample.saved <= events { sample.saved } else { 0 };
-        let row = sample.text.progress(&self.spec.samples[index].id, from)?;
+        let row = sample.text.progress(&self.spec.samples[index].id, sample.saved)?;
         Some(Saving { sample: index, number: sample.saved_rows, events, row })
     }
 }
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -420,3 +420,25 @@
         .collect();
     assert_eq!(started, [2, 0], "two slots: the group that was left, then the shortest");
 }
+
+#[test]
+fn a_text_that_was_begun_again_is_not_saved_behind_the_old_one() {
+    let mut world = World::new(&[("s1", 1)]);
+    let policy = JobPolicy { single_version: true, ..world.policy() };
+    let job = spec(1, vec![sample("a", "g", 10)]);
+    world.jobs.open(world.now, "job", job, policy, &[], Default::default());
+    let (run, ..) = run_of(&world.tick());
+    assert!(world.jobs.on_head(run, 1));
+    world.stream(run, 1, 10, 40);
+    let saving = world.jobs.unsaved("job").remove(0);
+    world.jobs.on_saved("job", &saving);
+    world.stream(run, 11, 12, 40);
+    let in_flight = world.jobs.unsaved("job").remove(0);
+    world.end(run, &RunEnd::Broken);
+    let (run, _, after) = run_of(&world.after(1_000));
+    assert_eq!(after, None);
+    world.jobs.on_saved("job", &in_flight);
+    assert!(world.jobs.on_head(run, 2));
+    world.stream(run, 1, 20, 40);
+    assert_eq!(world.jobs.unsaved("job").remove(0).row.first, 1);
+}
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -9,7 +9,7 @@
 };
 use buckthornfall_proto::messages::MemberState;
 use bytes::Bytes;
-use http::{header, request, Request, Response, StatusCode};
+use http::{header, request, HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use log::info;
@@ -75,7 +75,7 @@
 }
 
 async fn answer(node: &Rc<Node>, question: Question, req: &Request<Incoming>) -> Response<Bytes> {
-    let limit = wait_limit(req);
+    let limit = wait_limit(req.headers());
     match question {
         Question::Ready => ready(node),
         Question::Entries { zone } => entries(node, &zone),
@@ -90,8 +90,8 @@
     }
 }
 
-fn wait_limit<B>(req: &Request<B>) -> Duration {
-    let stated = text(req.headers(), &headers::DEADLINE).parse().ok();
+fn wait_limit(sent: &HeaderMap) -> Duration {
+    let stated = text(sent, &headers::DEADLINE).parse().ok();
     stated.map_or(DEFAULT_WAIT, Duration::from_millis)
 }
 
@@ -132,14 +132,9 @@
     };
     if route.kind == RouteKind::Job {
         let target = head.uri.path_and_query().map_or(path, |target| target.as_str());
-        let limit = route.timeout.unwrap_or(DEFAULT_WAIT).min(wait_limit_of(head));
+        let limit = route.timeout.unwrap_or(DEFAULT_WAIT).min(wait_limit(&head.headers));
         let accept = submissions::accept(node, route, id, host, target, body);
         return whole(submissions::within(limit, accept).await);
     }
     forward::forward(node, route, head, &body).await
 }
-
-fn wait_limit_of(head: &request::Parts) -> Duration {
-    let stated = text(&head.headers, &headers::DEADLINE).parse().ok();
-    stated.map_or(DEFAULT_WAIT, Duration::from_millis)
-}
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -32,8 +32,9 @@
     node: Rc<Node>,
     jobs: Jobs,
     tasks: FxHashMap<RunId, AbortHandle>,
-    /// Token of this daemon's rows of progress.
-    token: String,
+    /// Token of the rows of progress of each open job; another one each time that it is opened, as
+    /// the rows are numbered anew then.
+    tokens: FxHashMap<JobId, String>,
     /// Jobs of which a save is in flight.
     saving: FxHashSet<JobId>,
 }
@@ -42,9 +43,14 @@
     pub fn init(cx: CX![], node: Rc<Node>) -> Option<Runner> {
         after!(TICK, [cx], tick());
         after!(SAVE_INTERVAL, [cx], save());
-        let token = format!("{:016x}", rand::random::<u64>());
         let saving = FxHashSet::default();
-        Some(Runner { node, jobs: Jobs::default(), tasks: FxHashMap::default(), token, saving })
+        Some(Runner {
+            node,
+            jobs: Jobs::default(),
+            tasks: FxHashMap::default(),
+            tokens: FxHashMap::default(),
+            saving,
+        })
     }
 
     fn tick(&mut self, cx: CX![]) {
@@ -71,8 +77,9 @@
     }
 
     fn save_tx(&self, id: &str, savings: &[Saving]) -> StoreTx {
+        let token = self.tokens.get(id).map_or("", String::as_str);
         let put = savings.iter().map(|saving| {
-            let key = rows::progress_key(id, &self.token, saving.sample, saving.number);
+            let key = rows::progress_key(id, token, saving.sample, saving.number);
             (key, rows::encode(&saving.row))
         });
         StoreTx { expected: Vec::new(), put: put.collect() }
@@ -113,6 +120,8 @@
         let saved_events: usize = saved.values().map(Text::events).sum();
         info!(job = id, samples = spec.samples.len(), listed = listed.len(), saved_events, model = spec.model.as_str(),
             min_version = spec.min_version; "job_opened");
+        let token = format!("{:016x}", rand::random::<u64>());
+        self.tokens.insert(id.to_owned(), token);
         self.jobs.open(clock::now(), id, spec, policy, &listed, saved);
         self.advance(Vec::new());
     }
@@ -123,6 +132,7 @@
             return;
         }
         info!(job = id; "job_closed");
+        self.tokens.remove(id);
         let mut out = Vec::new();
         self.jobs.close(clock::now(), id, &mut out);
         self.advance(out);
