Claims refused while the table was away end at once

Cause: a request whose claim could not be written is refused, and its claim was then kept for 60 s to release the row. A read that finds no row left the claim where it was, since the write might still arrive. So every refusal of an outage cost two reads a second for a minute (the storm of reads), and counted as a request in flight, for which a planned stop waits.

Ruled out: HTTP threads that miss a wake-up.

Change: a claim that was never sent ends with its refusal. One that may still be carried out is closed by writing "released" where the row is absent, so the late insert fails; that is one read and one write.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -95,6 +95,8 @@
     attempt: AttemptId,
     /// Version of the row as last seen.
     version: u64,
+    /// Whether a write of the claim got no reply and may still be carried out.
+    unsure: bool,
     stage: Stage,
 }
 
@@ -132,7 +134,8 @@
         let id = request.id;
         let row_key = key(&request.caller, &request.key);
         let attempt = format!("{}/{id}", self.owner);
-        let claim = Claim { request, row_key, attempt, version: ABSENT, stage: Stage::Claiming };
+        let stage = Stage::Claiming;
+        let claim = Claim { request, row_key, attempt, version: ABSENT, unsure: false, stage };
         out.push(claim.write(claim.claimed_row()));
         self.claims.insert(id, claim);
     }
@@ -171,14 +174,17 @@
         reply: &TxnResult,
         out: &mut Vec<ClaimAction>,
     ) {
-        let Some(claim) = self.claims.get(&request) else { return };
+        let Some(claim) = self.claims.get_mut(&request) else { return };
         match reply {
             Ok(answer) => {
                 if let Some(row) = table::checked_row(answer, &claim.row_key).cloned() {
                     self.on_row(now, request, &row, out);
                 }
             }
-            Err(TableError::NoReply) => out.push(claim.read()),
+            Err(TableError::NoReply) => {
+                claim.unsure = true;
+                out.push(claim.read());
+            }
             Err(TableError::NotSent) => self.on_away(now, request, out),
         }
     }
@@ -206,6 +212,9 @@
             .map(|c| c.request.id)
             .collect();
         for id in expired {
+            if let Some(claim) = self.claims.get_mut(&id) {
+                claim.unsure = true;
+            }
             self.refuse_unclaimed(now, id, ErrorKind::TableAway, out);
         }
         self.claims.retain(|_, claim| match &claim.stage {
@@ -300,8 +309,10 @@
             Some(value) if value.attempt == claim.attempt && value.state == ClaimState::Claimed => {
                 out.push(claim.write(outcome.clone()));
             }
-            // The insert may still be on its way; the next tick reads again.
-            None if outcome.state == ClaimState::Released => {}
+            // The insert may still be on its way; a row that stands already makes it fail.
+            None if outcome.state == ClaimState::Released => {
+                out.push(claim.write(outcome.clone()));
+            }
             _ => {
                 self.claims.remove(&id);
             }
@@ -329,7 +340,12 @@
             "idempotency key {:?} could not be claimed, so nothing was sent to a server",
             claim.request.key
         );
+        let sent = claim.unsure || claim.stage != Stage::Claiming;
         out.push(ClaimAction::Refuse { request: id, refusal: Refusal::new(kind, message) });
+        if !sent {
+            self.claims.remove(&id);
+            return;
+        }
         self.settle(now, id, ClaimState::Released, 0, String::new(), out);
     }
 
