Owners of jobs write heartbeats each 500 ms and say so in their row

Change: a row names the time until the next heartbeat; daemons that run jobs write each 500 ms plus the time that their last write took, and look for jobs without an owner each 200 ms. The others write as before, so 400 daemons stay within 12 KB/s.

Kept for the rule of the design: who runs jobs is missed within 2 s (tests/views.rs). The relay of the store's calls stands in the same tree and is measured next.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pick;
 pub mod publish;
 pub mod quarantine;
+pub mod relay;
 pub mod rollout;
 pub mod step;
 pub mod store;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -16,10 +16,14 @@
 
 use crate::{backends::Location, Now};
 
-/// Heartbeats a second of all daemons together, so that their rows stay within the store's rates.
+/// Heartbeats a second of all daemons that own nothing, so that their rows stay within 12 KB/s for
+/// each reader.
 const BEATS_PER_SECOND: u32 = 50;
-/// Shortest time between two heartbeats of a daemon.
+/// Shortest time between two heartbeats of a daemon that owns nothing.
 const MIN_BEAT: Duration = Duration::from_millis(800);
+/// Time between two heartbeats of a daemon that runs jobs: these wait for its end to be noticed, and
+/// a step that loses more than a second is late.
+const OWNER_BEAT: Duration = Duration::from_millis(500);
 /// Heartbeats that may be missed before a daemon counts as gone.
 const MISSED_BEATS: u32 = 3;
 
@@ -47,8 +51,11 @@
         Members { own, seen: FxHashMap::default(), last_contact: Now::ZERO }
     }
 
-    /// Time between two heartbeats of a daemon.
-    pub fn beat_interval(&self) -> Duration {
+    /// Time between two heartbeats of this daemon.
+    pub fn beat_interval(&self, owns_jobs: bool) -> Duration {
+        if owns_jobs {
+            return OWNER_BEAT;
+        }
         let daemons = u32::try_from(self.seen.len()).unwrap_or(u32::MAX);
         MIN_BEAT.max(Duration::from_secs(1) * daemons / BEATS_PER_SECOND)
     }
@@ -74,8 +81,8 @@
 
     /// Whether a daemon writes its heartbeats.
     pub fn live(&self, now: Now, host: &str) -> bool {
-        let limit = self.beat_interval() * MISSED_BEATS;
         self.seen.get(host).is_some_and(|seen| {
+            let limit = Duration::from_millis(u64::from(seen.row.beat_ms)) * MISSED_BEATS;
             let silent = now.min(self.last_contact).saturating_sub(seen.changed);
             silent < limit
         })
@@ -105,6 +112,16 @@
         others.filter(|(host, _)| rendezvous_rank(key, host) > own).count() < count
     }
 
+    /// Addresses of live daemons that may make calls for this one, the nearest first; each daemon
+    /// has its own order among those that are equally near.
+    pub fn relays(&self, now: Now, location: &Location) -> Vec<String> {
+        let own = fingerprint(&[self.own.as_bytes()]);
+        let others = self.serving(now).filter(|(host, _)| **host != self.own);
+        let mut near: Vec<_> = others.collect();
+        near.sort_by_key(|(host, row)| (location.distance(&row.zone), rendezvous_rank(own, host)));
+        near.into_iter().take(MAX_RELAYS).map(|(_, row)| row.peers.clone()).collect()
+    }
+
     /// Addresses for callers at `location`: daemons of its region, as many as the load of all
     /// daemons asks for. Fewer daemons keep fewer connections to the same servers; each of them
     /// stands in for one that is lost.
@@ -122,6 +139,8 @@
     }
 }
 
+/// Daemons that may make calls for one that the store refuses.
+const MAX_RELAYS: usize = 6;
 /// Key of the order in which daemons become entries.
 const ENTRY_KEY: u64 = 0;
 /// Fewest addresses that callers choose from: the loss of two at once leaves a choice.
--- a/crates/core/tests/support/gossip.rs
+++ b/crates/core/tests/support/gossip.rs
@@ -222,6 +222,9 @@
                 }
             }
             PeerMessage::ManifestPush(push) => self.nodes[to].config.on_push(&push, &mut out),
+            PeerMessage::StoreCall(_) | PeerMessage::StoreReply(_) => {
+                panic!("only hosted daemons call the store for others")
+            }
         }
         self.apply(to, out);
     }
--- a/crates/core/tests/views.rs
+++ b/crates/core/tests/views.rs
@@ -87,10 +87,12 @@
 fn member(beat: u64) -> MemberRow {
     MemberRow {
         front: "127.0.0.1:1".to_owned(),
+        peers: "127.0.0.1:2".to_owned(),
         zone: "zone-a".to_owned(),
         state: MemberState::Serving,
         incarnation: 1,
         beat,
+        beat_ms: 800,
         requests_per_s: 0,
     }
 }
@@ -118,6 +120,25 @@
     assert!(!members.live(now, "h2"), "3 s of a store that answers");
 }
 
+/// The owner of jobs says that it writes more often, and is missed as much sooner.
+#[test]
+fn an_owner_of_jobs_is_missed_within_two_seconds() {
+    let mut members = Members::new("h1".to_owned());
+    (0..90).for_each(|index| members.on_row(NOW, &format!("idle{index}"), member(1)));
+    members.on_contact(NOW);
+    let beat = members.beat_interval(true);
+    let beat_ms = u32::try_from(beat.as_millis()).unwrap();
+    members.on_row(NOW, "owner", MemberRow { beat_ms, ..member(1) });
+    let mut now = NOW;
+    for _ in 0..20 {
+        now += Duration::from_millis(100);
+        members.on_contact(now);
+    }
+    assert!(!members.live(now, "owner"));
+    assert!(members.live(now, "idle1"));
+    assert!(members.beat_interval(false) > beat);
+}
+
 #[test]
 fn a_late_row_of_an_earlier_start_does_not_count_as_a_heartbeat() {
     let mut members = Members::new("h1".to_owned());
@@ -151,11 +172,27 @@
     assert_eq!(members.entries(NOW, &location(), 5).len(), 5);
 }
 
+#[test]
+fn calls_are_relayed_by_the_nearest_live_daemons() {
+    let mut members = Members::new("h0".to_owned());
+    members.on_contact(NOW);
+    for index in 0..20 {
+        let zone = ["zone-a", "zone-b", "zone-c"][index % 3];
+        let row =
+            MemberRow { zone: zone.to_owned(), peers: format!("{zone}/{index}"), ..member(1) };
+        members.on_row(NOW, &format!("h{index}"), row);
+    }
+    let relays = members.relays(NOW, &location());
+    assert_eq!(relays.len(), 6);
+    assert!(relays.iter().all(|address| address.starts_with("zone-a")), "{relays:?}");
+    assert!(!relays.contains(&"zone-a/0".to_owned()), "a daemon does not ask itself");
+}
+
 #[test]
 fn heartbeats_of_400_daemons_stay_within_the_rates_of_the_store() {
     let mut members = Members::new("h0".to_owned());
     (0..400).for_each(|index| members.on_row(NOW, &format!("h{index}"), member(1)));
-    let rate = 400.0 / members.beat_interval().as_secs_f64();
+    let rate = 400.0 / members.beat_interval(false).as_secs_f64();
     assert!(rate <= 50.0, "{rate} writes a second");
 }
 
--- a/crates/daemon/src/actors/control.rs
+++ b/crates/daemon/src/actors/control.rs
@@ -290,6 +290,11 @@
                 self.config.on_push(&push, &mut out);
                 self.apply_config(cx, out);
             }
+            // Only hosted daemons call the store for others.
+            PeerEvent::Request {
+                message: PeerMessage::StoreCall(_) | PeerMessage::StoreReply(_),
+                ..
+            } => {}
             PeerEvent::Answer { .. } => {}
         }
     }
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod http;
 mod node;
+mod peers;
 mod rows;
 mod runner;
 mod score;
@@ -133,6 +134,7 @@
             .await
             .context(ListenSnafu { address: address.to_string() })?;
     }
+    peers::listen(&node).await.context(ListenSnafu { address: own.peers.to_string() })?;
     feeds::start(&node);
     info!(host = own.host.as_str(), zone = own.zone.as_str(), front:% = own.front, store:% = own.store; "started");
     loop {
@@ -201,7 +203,7 @@
         }
     }
     let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
-    info!(inflight = node.inflight.get(), jobs = owned_jobs(node), took_ms; "stopped");
+    info!(inflight = node.inflight.get(), jobs = node.owned_jobs().len(), took_ms; "stopped");
 }
 
 /// Saves the progress of all jobs and hands them to other daemons.
@@ -214,12 +216,3 @@
     }
     feeds::hand_over(node).await;
 }
-
-fn owned_jobs(node: &Node) -> usize {
-    use buckthornfall_proto::messages::JobState;
-    let jobs = node.jobs.borrow();
-    let ours = jobs
-        .values()
-        .filter(|job| job.row.state == JobState::Open && job.row.owner == node.settings.host);
-    ours.count()
-}
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -11,7 +11,11 @@
 use log::{info, warn};
 use tokio::time::sleep;
 
-use super::{clock, node::Node, rows};
+use super::{
+    clock,
+    node::{KnownJob, Node},
+    rows,
+};
 
 /// Shortest time between two calls for one table, so that changes come in batches.
 const FEED_PACE: Duration = Duration::from_millis(25);
@@ -22,7 +26,7 @@
 /// Shortest time over which a rate is counted, in seconds.
 const MIN_RATE_TIME: f64 = 0.1;
 /// Time between two looks at the owners of jobs.
-const OWNER_INTERVAL: Duration = Duration::from_millis(300);
+const OWNER_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A table that is followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -199,6 +203,7 @@
     let mut incarnation = None;
     let mut beat = 0;
     let mut last_beat = clock::now();
+    let mut took = Duration::ZERO;
     loop {
         if incarnation.is_none() {
             incarnation = next_incarnation(&node, &key).await;
@@ -211,27 +216,35 @@
             let since = clock::now().saturating_sub(last_beat).as_secs_f64().max(MIN_RATE_TIME);
             last_beat = clock::now();
             let rate = f64::from(node.requests.take()) / since;
+            let expected = beat_interval(&node) + took;
             let row = MemberRow {
                 front: node.settings.front.to_string(),
+                peers: node.settings.peers.to_string(),
                 zone: node.settings.zone.clone(),
                 state: node.state.get(),
                 incarnation,
                 beat,
+                beat_ms: u32::try_from(expected.as_millis()).unwrap_or(u32::MAX),
                 requests_per_s: rate.round() as u32,
             };
             let tx = StoreTx { expected: Vec::new(), put: vec![(key.clone(), rows::encode(&row))] };
             node.store.transact(&tx).await;
+            took = clock::now().saturating_sub(last_beat);
         }
         let starting = node.state.get() == MemberState::Starting;
-        let interval = node.members.borrow().beat_interval();
-        let pause = if starting { FEED_PACE } else { interval };
+        let pause = if starting { FEED_PACE } else { beat_interval(&node) };
         tokio::select! {
             () = sleep(pause) => {}
             () = node.stop.notified() => {}
+            () = node.job_taken.notified() => {}
         }
     }
 }
 
+fn beat_interval(node: &Node) -> Duration {
+    node.members.borrow().beat_interval(!node.owned_jobs().is_empty())
+}
+
 /// One more than that of the last start of this host.
 async fn next_incarnation(node: &Node, key: &RowKey) -> Option<u64> {
     let row = node.store.row(key).await.ok()?;
@@ -243,10 +256,19 @@
 async fn watch_owners(node: Rc<Node>) {
     loop {
         sleep(OWNER_INTERVAL).await;
-        if node.state.get() != MemberState::Serving || node.store.is_lost() {
+        if node.state.get() != MemberState::Serving {
+            continue;
+        }
+        if node.store.is_relaying() {
+            let node = Rc::clone(&node);
+            tokio::task::spawn_local(async move { node.store.probe().await });
+        }
+        if node.store.is_lost() {
             continue;
         }
         node.servers.sweep();
+        let relays = node.members.borrow().relays(clock::now(), &node.location);
+        node.store.set_relays(relays);
         node.backends.borrow_mut().expire(node.store.steady_since(), clock::now());
         for (id, row, version) in orphans(&node) {
             let owner = node.settings.host.clone();
@@ -283,14 +305,7 @@
 
 /// Gives all jobs of this daemon to others, at a planned stop.
 pub async fn hand_over(node: &Rc<Node>) {
-    let owned: Vec<_> = {
-        let jobs = node.jobs.borrow();
-        let ours = jobs.iter().filter(|(_, job)| {
-            job.row.state == JobState::Open && job.row.owner == node.settings.host
-        });
-        ours.map(|(id, job)| (id.clone(), job.row.clone(), job.version)).collect()
-    };
-    for (id, row, version) in owned {
+    for (id, KnownJob { row, version }) in node.owned_jobs() {
         let next = node.members.borrow().owner(clock::now(), &row.model).cloned();
         if let Some(next) = next.filter(|next| *next != node.settings.host) {
             take_over(node, &id, row, version, next).await;
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -70,6 +70,8 @@
     /// Whether each table has been read whole.
     pub tables_read: Cell<u8>,
     pub stop: Notify,
+    /// Told when this daemon gets a job.
+    pub job_taken: Notify,
     pub actors: OnceCell<Actors>,
 }
 
@@ -96,6 +98,7 @@
             requests: Cell::new(0),
             tables_read: Cell::new(0),
             stop: Notify::new(),
+            job_taken: Notify::new(),
             actors: OnceCell::new(),
             settings,
         })
@@ -156,13 +159,14 @@
         if known.is_some_and(|known| known >= version) {
             return;
         }
-        let ours = row.state == JobState::Open && row.owner == self.settings.host;
+        let ours = self.owns(&row);
         if known.is_none() && row.state == JobState::Open {
             let job = row.clone();
             self.duty(move |duty, _| duty.on_job(&job));
         }
         self.jobs.borrow_mut().insert(id.to_owned(), KnownJob { row, version });
         if ours {
+            self.job_taken.notify_one();
             self.start_job(id);
         } else {
             let id = id.to_owned();
@@ -170,6 +174,18 @@
         }
     }
 
+    /// Open jobs that this daemon runs.
+    pub fn owned_jobs(&self) -> Vec<(JobId, KnownJob)> {
+        let jobs = self.jobs.borrow();
+        let ours = jobs.iter().filter(|(_, job)| self.owns(&job.row));
+        ours.map(|(id, job)| (id.clone(), job.clone())).collect()
+    }
+
+    /// Whether this daemon runs a job with this row.
+    pub fn owns(&self, row: &JobRow) -> bool {
+        row.state == JobState::Open && row.owner == self.settings.host
+    }
+
     /// Reads a job's text and log, and runs it.
     pub fn start_job(self: &Rc<Node>, id: &str) {
         if !self.loading.borrow_mut().insert(id.to_owned()) {
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -7,7 +7,7 @@
     job::{AppendEnd, Batch, JobAction, JobId, Jobs, RunEnd, RunId, Saving, ScoreEnd, Text},
     store::{StoreFailure, StoreTx, TxEnd},
 };
-use buckthornfall_proto::messages::{JobState, ResultRow};
+use buckthornfall_proto::messages::ResultRow;
 use log::info;
 use rustc_hash::{FxHashMap, FxHashSet};
 use stakker::{after, CX};
@@ -111,9 +111,7 @@
     /// Starts to run a job.
     pub fn open(&mut self, _: CX![], id: &str, loaded: Loaded) {
         let Loaded { spec, policy, listed, saved } = loaded;
-        let ours = self.node.jobs.borrow().get(id).is_some_and(|job| {
-            job.row.state == JobState::Open && job.row.owner == self.node.settings.host
-        });
+        let ours = self.node.jobs.borrow().get(id).is_some_and(|job| self.node.owns(&job.row));
         if !ours || self.jobs.is_open(id) || self.node.is_leaving() {
             return;
         }
--- a/crates/daemon/src/hosted/server.rs
+++ b/crates/daemon/src/hosted/server.rs
@@ -17,7 +17,7 @@
 /// Time between two looks at whether a connection is idle.
 const IDLE_CHECK: Duration = Duration::from_secs(1);
 /// Pause after a connection that could not be accepted, as when no descriptor is left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -7,18 +7,21 @@
 };
 
 use buckthornfall_core::{
+    relay::{Change, PeerAddress, Relay},
     store::{FeedEnd, RowKey, RowPage, RowVersion, StoreFailure, StoreTx, StoredRow, TxEnd},
     Now,
 };
 use buckthornfall_platform::store as wire;
+use buckthornfall_proto::messages::{PeerMessage, StoreCall, StoreReply};
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use log::{info, warn};
 
 use super::{
     clock,
     http::{Error, Pool},
 };
+use crate::peers::{self, Connections};
 
 /// Longest wait for a connection to the store: many times the distance between regions.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
@@ -28,6 +31,10 @@
 const OBJECT_LIMIT: Duration = Duration::from_secs(3);
 /// How long the store holds a call that follows a table.
 const FEED_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest wait for the reply to the question whether the store serves this daemon again.
+const PROBE_LIMIT: Duration = Duration::from_millis(400);
+/// Time for the way to another daemon and back, above the time of the call itself.
+const PEER_MARGIN: Duration = Duration::from_millis(150);
 /// Time without a good reply after which calls that cannot wait are refused at once.
 const LOST_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -43,6 +50,10 @@
     /// The store's clock, with when it was read here.
     clock: Cell<Option<(u64, Now)>>,
     last_error: RefCell<String>,
+    relay: RefCell<Relay>,
+    /// Connections to daemons that make calls for this one.
+    peers: Connections,
+    probing: Cell<bool>,
 }
 
 impl Store {
@@ -56,6 +67,9 @@
             lost: Cell::new(true),
             clock: Cell::new(None),
             last_error: RefCell::default(),
+            relay: RefCell::default(),
+            peers: Connections::default(),
+            probing: Cell::new(false),
         }
     }
 
@@ -171,13 +185,126 @@
         reply.status().is_success().then(|| reply.into_body())
     }
 
+    /// Sets the daemons that may make calls for this one.
+    pub fn set_relays(&self, peers: Vec<PeerAddress>) {
+        self.relay.borrow_mut().set_peers(peers);
+    }
+
+    /// Whether calls go through other daemons.
+    pub fn is_relaying(&self) -> bool {
+        self.relay.borrow().is_relaying()
+    }
+
+    /// Asks the store directly whether it serves this daemon again.
+    pub async fn probe(&self) {
+        if self.probing.replace(true) {
+            return;
+        }
+        let key = RowKey::new(wire::OPERATOR_TABLE, "", "");
+        let reply = self.direct(wire::rows(self.addr, &key, Some("\0")), PROBE_LIMIT).await;
+        self.probing.set(false);
+        drop(reply);
+    }
+
+    /// Makes a call for another daemon; not if the store refuses this one too.
+    pub async fn make_for_peer(&self, asked: StoreCall) -> StoreReply {
+        let limit = Duration::from_millis(u64::from(asked.limit_ms)).min(OBJECT_LIMIT);
+        let not_sent = StoreReply { status: 0, sent: false, body: Vec::new() };
+        if self.is_relaying() {
+            return not_sent;
+        }
+        let req = match wire::from_peer(self.addr, asked) {
+            Ok(req) => req,
+            Err(e) => {
+                warn!(error:% = e; "relayed_call_unreadable");
+                return not_sent;
+            }
+        };
+        match self.direct(req, limit).await {
+            Ok(reply) => {
+                let status = reply.status().as_u16();
+                StoreReply { status, sent: true, body: reply.into_body().to_vec() }
+            }
+            Err(Error::Connect { .. }) => not_sent,
+            Err(_) => StoreReply { sent: true, ..not_sent },
+        }
+    }
+
     async fn call(&self, req: Request<Bytes>, limit: Duration) -> Result<Response<Bytes>, Error> {
+        if !self.is_relaying() {
+            return self.direct(req, limit).await;
+        }
+        let limit_ms = u32::try_from(limit.as_millis()).unwrap_or(u32::MAX);
+        let asked = wire::to_peer(&req, limit_ms);
+        let peers = self.relay.borrow().candidates(clock::now());
+        for peer in peers {
+            match self.through(&peer, asked.clone(), limit).await {
+                Err(Error::Connect { .. }) => {}
+                end => return end,
+            }
+        }
+        Err(Error::Connect { addr: self.addr, reason: "no daemon makes the call".to_owned() })
+    }
+
+    async fn direct(&self, req: Request<Bytes>, limit: Duration) -> Result<Response<Bytes>, Error> {
         metrics::counter!("store_calls").increment(1);
-        let reply = self.pool.call(self.addr, req, CONNECT_LIMIT, limit).await;
+        let reply = self.pool.call(self.addr, req, CONNECT_LIMIT.min(limit), limit).await;
+        let refused = |status: StatusCode| {
+            status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
+        };
+        let served = reply.as_ref().is_ok_and(|reply| !refused(reply.status()));
+        if !served {
+            let error = match &reply {
+                Ok(reply) => format!("refused with {}", reply.status().as_u16()),
+                Err(e) => e.to_string(),
+            };
+            *self.last_error.borrow_mut() = error;
+        }
+        match self.relay.borrow_mut().on_direct(served) {
+            Some(Change::Started) => {
+                warn!(error = self.last_error.borrow().as_str(); "store_calls_relayed");
+            }
+            Some(Change::Ended) => info!("store_calls_direct"),
+            None => {}
+        }
+        reply
+    }
+
+    /// Has another daemon make a call.
+    async fn through(
+        &self,
+        peer: &str,
+        asked: StoreCall,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        metrics::counter!("store_calls_relayed").increment(1);
+        let message = PeerMessage::StoreCall(asked);
+        let exchange = self.peers.exchange(peer, &message);
+        let end = tokio::time::timeout(limit + PEER_MARGIN, exchange).await;
+        let connect = |reason: String| Error::Connect {
+            addr: self.addr,
+            reason: format!("{peer}: {reason}"),
+        };
+        let reply = match end {
+            Ok(Ok(PeerMessage::StoreReply(reply))) if reply.status != 0 => Ok(reply),
+            Ok(Ok(PeerMessage::StoreReply(reply))) if !reply.sent => {
+                Err(connect("the store refuses it too".to_owned()))
+            }
+            Ok(Err(e @ (peers::Error::Connect { .. } | peers::Error::Codec { .. }))) => {
+                Err(connect(e.to_string()))
+            }
+            _ => Err(Error::TimedOut { addr: self.addr, limit }),
+        };
+        self.relay.borrow_mut().on_peer(clock::now(), peer, reply.is_ok());
         if let Err(e) = &reply {
             *self.last_error.borrow_mut() = e.to_string();
+            self.peers.forget(peer).await;
         }
-        reply
+        let reply = reply?;
+        let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut answer = Response::new(Bytes::from(reply.body));
+        *answer.status_mut() = status;
+        Ok(answer)
     }
 
     fn note(&self, good: bool, call: &str) {
--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -172,8 +172,7 @@
     loop {
         let known = node.jobs.borrow().get(id).cloned();
         let Some(job) = known else { return };
-        let ours = job.row.state == JobState::Open && job.row.owner == node.settings.host;
-        if !ours || node.is_leaving() {
+        if !node.owns(&job.row) || node.is_leaving() {
             return;
         }
         if let Some(loaded) = load_once(node, id, &job.row).await {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,7 +1,8 @@
 //! Messages between daemons: one HTTP/2 stream with a bincode body for each request.
 
 use std::{
-    collections::HashMap, io, net::SocketAddr, sync::Arc, thread::JoinHandle, time::Duration,
+    collections::HashMap, future::Future, io, net::SocketAddr, sync::Arc, thread::JoinHandle,
+    time::Duration,
 };
 
 use buckthornfall_proto::{
@@ -18,6 +19,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot, Mutex, Semaphore},
+    task::{spawn_local, LocalSet},
     time::timeout,
 };
 
@@ -25,22 +27,50 @@
 
 /// Why a message was not exchanged.
 #[derive(Debug, Snafu)]
-enum Error {
+pub enum Error {
+    /// No connection could be made; nothing was sent.
     #[snafu(display("cannot connect to {address}: {source}"))]
-    Connect { address: String, source: io::Error },
+    Connect {
+        /// The other daemon.
+        address: String,
+        /// What was seen.
+        source: io::Error,
+    },
+    /// The connection failed.
     #[snafu(display("HTTP/2 with {address}: {source}"))]
-    Http2 { address: String, source: h2::Error },
+    Http2 {
+        /// The other daemon.
+        address: String,
+        /// What was seen.
+        source: h2::Error,
+    },
+    /// The message cannot be encoded or decoded.
     #[snafu(display("{source}"))]
-    Codec { source: codec::Error },
+    Codec {
+        /// What was seen.
+        source: codec::Error,
+    },
+    /// The message is too long.
     #[snafu(display("the message is longer than {MAX_MESSAGE_BYTES} bytes"))]
     TooLong,
+    /// The other daemon did not answer the message.
     #[snafu(display("{address} answered with status {status}"))]
-    Refused { address: String, status: StatusCode },
+    Refused {
+        /// The other daemon.
+        address: String,
+        /// Status of its answer.
+        status: StatusCode,
+    },
+    /// No answer came in time.
     #[snafu(display("no answer from {address} in time"))]
-    Timeout { address: String },
+    Timeout {
+        /// The other daemon.
+        address: String,
+    },
 }
 
-type Result<T, E = Error> = std::result::Result<T, E>;
+/// Result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// News for the actors.
 pub enum PeerEvent {
@@ -76,6 +106,20 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 const WINDOW_BYTES: u32 = 1024 * 1024;
 
+/// Answers what other daemons send.
+pub trait Answer: Clone + 'static {
+    /// The answer to a message; `None` for none.
+    fn answer(&self, message: PeerMessage) -> impl Future<Output = Option<PeerMessage>>;
+}
+
+impl Answer for Channel<PeerEvent> {
+    async fn answer(&self, message: PeerMessage) -> Option<PeerMessage> {
+        let (reply, answer) = oneshot::channel();
+        self.send(PeerEvent::Request { message, reply });
+        timeout(EXCHANGE_TIMEOUT, answer).await.ok()?.ok()
+    }
+}
+
 /// The thread that carries messages between daemons.
 pub struct Peers {
     outgoing: mpsc::Sender<Outgoing>,
@@ -117,7 +161,7 @@
         let (tx, rx) = mpsc::channel(QUEUE);
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let thread = telemetry.spawn("peers", move || {
-            runtime.block_on(async {
+            LocalSet::new().block_on(&runtime, async {
                 match TcpListener::from_std(self.listener) {
                     Ok(listener) => run(listener, rx, events).await,
                     Err(e) => warn!(error:% = e; "peer_listener_failed"),
@@ -139,7 +183,7 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((socket, _)) => {
-                    tokio::spawn(serve(socket, events.clone()));
+                    spawn_local(serve(socket, events.clone()));
                 }
                 Err(e) => warn!(error:% = e; "peer_accept_failed"),
             },
@@ -147,7 +191,7 @@
                 let Some(message) = message else { return };
                 let Ok(permit) = Arc::clone(&exchanges).try_acquire_owned() else { continue };
                 let (connections, events) = (Arc::clone(&connections), events.clone());
-                tokio::spawn(async move {
+                spawn_local(async move {
                     send(&connections, message, &events).await;
                     drop(permit);
                 });
@@ -172,13 +216,14 @@
 }
 
 /// Open connections to other daemons, by address.
-#[derive(Default)]
-struct Connections {
+#[derive(Debug, Default)]
+pub struct Connections {
     open: Mutex<HashMap<String, SendRequest<Bytes>>>,
 }
 
 impl Connections {
-    async fn exchange(&self, address: &str, message: &PeerMessage) -> Result<PeerMessage> {
+    /// Sends a message and returns the answer. A connection that fails is to be forgotten.
+    pub async fn exchange(&self, address: &str, message: &PeerMessage) -> Result<PeerMessage> {
         let body = Bytes::from(codec::encode(message).context(CodecSnafu)?);
         metrics::counter!("peer_bytes_sent_total").increment(body.len() as u64);
         let sender = self.connection(address).await?;
@@ -208,7 +253,7 @@
             .handshake(socket)
             .await
             .context(Http2Snafu { address })?;
-        tokio::spawn(async move {
+        spawn_local(async move {
             if let Err(e) = connection.await {
                 debug!(error:% = e; "peer_connection_ended");
             }
@@ -217,12 +262,14 @@
         Ok(sender)
     }
 
-    async fn forget(&self, address: &str) {
+    /// Closes the connection to a daemon once its exchanges have ended.
+    pub async fn forget(&self, address: &str) {
         self.open.lock().await.remove(address);
     }
 }
 
-async fn serve(socket: TcpStream, events: Channel<PeerEvent>) {
+/// Answers the messages of one connection.
+pub async fn serve(socket: TcpStream, answers: impl Answer) {
     // Without the option, answers are only slower.
     let _ = socket.set_nodelay(true);
     let handshake = h2::server::Builder::new()
@@ -238,9 +285,9 @@
         }
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
-        let events = events.clone();
-        tokio::spawn(async move {
-            if let Err(e) = answer(request.into_body(), respond, &events).await {
+        let answers = answers.clone();
+        spawn_local(async move {
+            if let Err(e) = answer(request.into_body(), respond, &answers).await {
                 warn!(error:% = e; "peer_message_refused");
             }
         });
@@ -250,7 +297,7 @@
 async fn answer(
     body: RecvStream,
     mut respond: SendResponse<Bytes>,
-    events: &Channel<PeerEvent>,
+    answers: &impl Answer,
 ) -> Result<()> {
     let address = "a peer";
     let message = match read(address, body).await {
@@ -264,15 +311,13 @@
             return Err(e);
         }
     };
-    let (reply, answer) = oneshot::channel();
-    events.send(PeerEvent::Request { message, reply });
-    match timeout(EXCHANGE_TIMEOUT, answer).await {
-        Ok(Ok(message)) => {
+    match answers.answer(message).await {
+        Some(message) => {
             let body = Bytes::from(codec::encode(&message).context(CodecSnafu)?);
             metrics::counter!("peer_bytes_sent_total").increment(body.len() as u64);
             respond_with(&mut respond, StatusCode::OK, Some(body))
         }
-        _ => respond_with(&mut respond, StatusCode::NO_CONTENT, None),
+        None => respond_with(&mut respond, StatusCode::NO_CONTENT, None),
     }
 }
 
