Commands explain and incident read the daemons' logs

`explain ID LOG...` joins the logs of all daemons by id and time; `incident LOG...` lists what changed in a span and counts failures by cause. Tests run through the binary.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -26,6 +26,8 @@
         .subcommand(request())
         .subcommand(submit())
         .subcommand(report())
+        .subcommand(explain())
+        .subcommand(incident())
         .subcommand(demo())
         .subcommand(bench())
 }
@@ -194,6 +196,46 @@
         .subcommand(burn)
 }
 
+fn logs_arg() -> Arg {
+    Arg::new("logs")
+        .value_name("LOG")
+        .required(true)
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf))
+        .help("Logs of daemons, a file each; words before \"time=\" name the daemon of a line")
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tell the story of one request, job or sample from the logs of all daemons")
+        .long_about(
+            "Tell the story of one request, job or sample from the logs of all daemons.\n\nPrints \
+             each line that names the id, in order of time, with what changed meanwhile for the \
+             daemons and servers that these lines name: servers that left, the store lost or \
+             regained, owners and desired states that changed. Lines of a job name its samples, \
+             so a sample's story starts with its own id. The exit code is 2 if no line names the \
+             id.",
+        )
+        .arg(Arg::new("id").value_name("ID").required(true).help("Id of a request, job or sample"))
+        .arg(logs_arg())
+}
+
+fn incident() -> Command {
+    let span = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name("TIME").help(help)
+    };
+    Command::new("incident")
+        .about("List what changed in a span of time, from the logs of all daemons")
+        .long_about(
+            "List what changed in a span of time, from the logs of all daemons.\n\nEach kind of \
+             change is listed with its first and last time, how often it was logged and by how \
+             many daemons; requests that were refused or failed are counted by cause.",
+        )
+        .arg(logs_arg())
+        .arg(span("from", "Leave out lines before this time, as 2026-12-04T08:16:11Z"))
+        .arg(span("until", "Leave out lines from this time on"))
+}
+
 fn bench() -> Command {
     let load = Command::new("load")
         .about("Send a load through one daemon, and the same load directly to the engines")
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -31,6 +31,12 @@
     /// The system refused.
     #[snafu(display("refused ({}, the work: {}): {}{}", answer.kind, answer.outcome, answer.message, hint(answer)))]
     Refused { answer: Box<ErrorAnswer> },
+    /// A time is not valid.
+    #[snafu(display("--{option}: {value:?} is not a time like 2026-12-04T08:16:11Z: {message}"))]
+    Time { option: &'static str, value: String, message: String },
+    /// No line of the logs fits.
+    #[snafu(display("{message}"))]
+    NoLines { message: String },
     /// A report cannot be written.
     #[snafu(display("cannot write {}: {reason}", path.display()))]
     Write { path: PathBuf, reason: String },
@@ -64,6 +70,8 @@
             | Error::Manifest { .. }
             | Error::Document { .. }
             | Error::NoDaemon
+            | Error::Time { .. }
+            | Error::NoLines { .. }
             | Error::NoToken => EXIT_INPUT,
             Error::Refused { answer } if answer.kind == "conflict" => EXIT_CONFLICT,
             Error::Refused { .. } => EXIT_REFUSED,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,7 +6,10 @@
 mod cli;
 mod demo;
 mod error;
+mod explain;
 mod export;
+mod incident;
+mod log_lines;
 mod options;
 mod output;
 mod report;
@@ -37,6 +40,8 @@
         Some(("request", sub)) => caller::request(&options, sub),
         Some(("submit", sub)) => caller::submit(&options, sub),
         Some(("report", sub)) => report::run(&options, sub),
+        Some(("explain", sub)) => explain::run(&options, sub),
+        Some(("incident", sub)) => incident::run(&options, sub),
         Some(("bench", sub)) => bench::run(&options, sub),
         Some(("demo", sub)) => demo::run(&options, sub),
         _ => unreachable!("clap requires a known subcommand"),
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -86,3 +86,39 @@
         assert!(text.contains(promise), "{part}: {text}");
     }
 }
+
+/// Two daemons' logs: a request that met a server which had left, while the store was lost.
+fn logs() -> [String; 2] {
+    let one = "time=2026-12-04T08:16:09.500Z level=warn event=store_lost call=feed silence_ms=1600\n\
+        not a line of the log\n\
+        time=2026-12-04T08:16:10.000Z level=info event=request_sent request=r1 server=s1 outcome=\"no answer in 350 ms\"\n\
+        time=2026-12-04T08:16:10.020Z level=info event=server_entry_removed server=s1 steady=false\n\
+        time=2026-12-04T08:16:10.030Z level=info event=server_entry_removed server=s9 steady=false\n\
+        time=2026-12-04T08:16:10.100Z level=info event=request_answered request=r1 status=502\n";
+    let two =
+        "  10.1 front-b time=2026-12-04T08:16:10.050Z level=info event=store_lost call=feed\n\
+        time=2026-12-04T08:16:10.200Z level=info event=request_answered request=r2 status=200\n";
+    [temporary("front-a.log", one), temporary("other.log", two)]
+}
+
+#[test]
+fn explain_joins_the_logs_of_all_daemons_by_an_id() {
+    let [one, two] = logs();
+    let output = run(&["explain", "r1", &one, &two]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
+    let output = run(&["explain", "r7", &one, &two]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(stderr(&output).contains("no line of the logs names \"r7\""));
+}
+
+#[test]
+fn incident_lists_what_changed_and_failures_by_cause() {
+    let [one, two] = logs();
+    let output = run(&["incident", &one, &two, "--from", "2026-12-04T08:16:10Z"]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
+    let output = run(&["incident", &one, "--until", "yesterday"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(stderr(&output).contains("--until: \"yesterday\" is not a time"));
+}
