A daemon that the store refuses calls it through another one

Ruled out: faster takeover alone.

A daemon that has just started asks those that its settings name.

--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -27,6 +27,8 @@
 const MIN_RATE_TIME: f64 = 0.1;
 /// Time between two looks at the owners of jobs.
 const OWNER_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two looks at whether the store serves this daemon.
+const STORE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A table that is followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,6 +61,7 @@
         tokio::task::spawn_local(follow(Rc::clone(node), table));
     }
     tokio::task::spawn_local(beat(Rc::clone(node)));
+    tokio::task::spawn_local(watch_store(Rc::clone(node)));
     tokio::task::spawn_local(watch_owners(Rc::clone(node)));
 }
 
@@ -252,6 +255,23 @@
     Some(last.map_or(1, |last| last.incarnation + 1))
 }
 
+/// Keeps the list of daemons that may call the store for this one, and looks whether that is needed
+/// any more. A daemon that has just started knows just those that its settings name.
+async fn watch_store(node: Rc<Node>) {
+    loop {
+        let mut relays = node.members.borrow().relays(clock::now(), &node.location);
+        if relays.is_empty() {
+            relays = node.settings.seeds.iter().map(ToString::to_string).collect();
+        }
+        node.store.set_relays(relays);
+        if node.store.is_relaying() {
+            let node = Rc::clone(&node);
+            tokio::task::spawn_local(async move { node.store.probe().await });
+        }
+        sleep(STORE_INTERVAL).await;
+    }
+}
+
 /// Takes over jobs whose owner no longer writes heartbeats.
 async fn watch_owners(node: Rc<Node>) {
     loop {
@@ -259,16 +279,10 @@
         if node.state.get() != MemberState::Serving {
             continue;
         }
-        if node.store.is_relaying() {
-            let node = Rc::clone(&node);
-            tokio::task::spawn_local(async move { node.store.probe().await });
-        }
         if node.store.is_lost() {
             continue;
         }
         node.servers.sweep();
-        let relays = node.members.borrow().relays(clock::now(), &node.location);
-        node.store.set_relays(relays);
         node.backends.borrow_mut().expire(node.store.steady_since(), clock::now());
         for (id, row, version) in orphans(&node) {
             let owner = node.settings.host.clone();
