--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod hosted;
 mod http;
 mod io;
+pub mod log_budget;
 pub mod logging;
 pub mod options;
 mod peers;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -5,12 +5,19 @@
     sync::{
         atomic::{AtomicU64, Ordering},
         mpsc::{self, Receiver, SyncSender},
+        Mutex, PoisonError,
     },
     thread,
+    time::Instant,
 };
 
-use env_logger::{Builder, Env, Target};
-use log::kv::{Error, Key, Value, VisitSource};
+use env_logger::{fmt::Formatter, Builder, Env, Target};
+use log::{
+    kv::{Error, Key, Value, VisitSource},
+    Record,
+};
+
+use crate::log_budget::{LeftOut, LogBudget};
 
 struct Pairs<'a, W>(&'a mut W);
 
@@ -41,7 +48,9 @@
     if writer.spawn(move || write_lines(&rx)).is_err() {
         return init();
     }
-    builder().target(Target::Pipe(Box::new(BoundedLog { tx, left_out: AtomicU64::new(0) }))).init();
+    budgeted()
+        .target(Target::Pipe(Box::new(BoundedLog { tx, left_out: AtomicU64::new(0) })))
+        .init();
 }
 
 const WRITER_STACK_BYTES: usize = 64 * 1024;
@@ -86,12 +95,42 @@
 
 fn builder() -> Builder {
     let mut builder = Builder::from_env(Env::default().default_filter_or("info"));
-    builder.format(|buf, record| {
+    builder.format(write_line);
+    builder
+}
+
+/// Like `builder`, with a budget for each kind of event.
+fn budgeted() -> Builder {
+    let mut builder = builder();
+    let started = Instant::now();
+    let budget = Mutex::new(LogBudget::default());
+    builder.format(move |buf, record| {
+        let event = record.args().to_string();
+        // A thread that panicked while it logged leaves the counts as they are.
+        let mut budget = budget.lock().unwrap_or_else(PoisonError::into_inner);
+        let left_out = budget.advance(started.elapsed());
+        let admitted = budget.admit(&event);
+        drop(budget);
         let time = buf.timestamp_millis();
-        let level = record.level().as_str().to_lowercase();
-        write!(buf, "time={time} level={level} event={}", record.args())?;
-        record.key_values().visit(&mut Pairs(buf)).map_err(std::io::Error::other)?;
-        writeln!(buf)
+        for LeftOut { event, count } in left_out {
+            writeln!(
+                buf,
+                "time={time} level=warn event=log_lines_left_out of={event} count={count}"
+            )?;
+        }
+        if admitted {
+            write_line(buf, record)
+        } else {
+            Ok(())
+        }
     });
     builder
 }
+
+fn write_line(buf: &mut Formatter, record: &Record<'_>) -> io::Result<()> {
+    let time = buf.timestamp_millis();
+    let level = record.level().as_str().to_lowercase();
+    write!(buf, "time={time} level={level} event={}", record.args())?;
+    record.key_values().visit(&mut Pairs(buf)).map_err(io::Error::other)?;
+    writeln!(buf)
+}
