Ended jobs leave the store; jobs run near the store and open in one round trip

Two changes in files that they share:

A daemon's row now says how long its writes take, owners are those near the store while one is live (tests/views.rs), the reads go at once, and readers look each 40 ms.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -98,10 +98,15 @@
             .map(|(host, seen)| (host, &seen.row))
     }
 
-    /// The daemon that should run what `key` names.
+    /// The daemon that should run what `key` names: one of those near the store, where all results
+    /// are written.
     pub fn owner(&self, now: Now, key: &str) -> Option<&HostId> {
         let key = fingerprint(&[key.as_bytes()]);
-        self.serving(now).map(|(host, _)| host).max_by_key(|host| rendezvous_rank(key, host))
+        let nearest = self.serving(now).map(|(_, row)| row.store_ms).min()?;
+        let near = self
+            .serving(now)
+            .filter(|(_, row)| row.store_ms <= nearest.saturating_add(NEAR_STORE_MS));
+        near.map(|(host, _)| host).max_by_key(|host| rendezvous_rank(key, host))
     }
 
     /// Whether this daemon is among the `count` first for `key`.
@@ -139,6 +144,9 @@
     }
 }
 
+/// Difference of the times of writes up to which daemons are equally near to the store, in
+/// milliseconds: above that between zones of a region, below that between regions.
+const NEAR_STORE_MS: u32 = 8;
 /// Daemons that may make calls for one that the store refuses.
 const MAX_RELAYS: usize = 6;
 /// Key of the order in which daemons become entries.
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -41,12 +41,25 @@
     pub expected: Vec<(RowKey, RowVersion)>,
     /// Rows to write.
     pub put: Vec<(RowKey, Bytes)>,
+    /// Rows to remove.
+    pub remove: Vec<RowKey>,
 }
 
 impl StoreTx {
     /// A transaction that writes `value` if the row has `version`.
     pub fn replace(key: RowKey, version: RowVersion, value: Bytes) -> StoreTx {
-        StoreTx { expected: vec![(key.clone(), version)], put: vec![(key, value)] }
+        let expected = vec![(key.clone(), version)];
+        StoreTx { expected, put: vec![(key, value)], remove: Vec::new() }
+    }
+
+    /// A transaction that writes rows whatever stands there.
+    pub fn put(put: Vec<(RowKey, Bytes)>) -> StoreTx {
+        StoreTx { put, ..StoreTx::default() }
+    }
+
+    /// A transaction that removes rows.
+    pub fn remove(remove: Vec<RowKey>) -> StoreTx {
+        StoreTx { remove, ..StoreTx::default() }
     }
 }
 
--- a/crates/core/tests/views.rs
+++ b/crates/core/tests/views.rs
@@ -1,6 +1,6 @@
 //! What a daemon believes of servers, of other daemons and of the desired state.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use buckthornfall_core::{
     backends::{Backend, Backends, Ended, Location, Want, LAPSED_KEPT},
@@ -93,6 +93,7 @@
         incarnation: 1,
         beat,
         beat_ms: 800,
+        store_ms: 6,
         requests_per_s: 0,
     }
 }
@@ -120,6 +121,24 @@
     assert!(!members.live(now, "h2"), "3 s of a store that answers");
 }
 
+#[test]
+fn jobs_are_run_near_the_store_while_a_daemon_there_is_live() {
+    let mut members = Members::new("h0".to_owned());
+    members.on_contact(NOW);
+    for index in 0..10 {
+        let store_ms = if index < 7 { 30 } else { 5 + index };
+        members.on_row(NOW, &format!("h{index}"), MemberRow { store_ms, ..member(1) });
+    }
+    let owners: BTreeSet<_> =
+        (0..100).filter_map(|job| members.owner(NOW, &format!("job{job}"))).collect();
+    assert_eq!(owners.into_iter().collect::<Vec<_>>(), ["h7", "h8", "h9"]);
+    for index in 7..10 {
+        let leaving = MemberRow { state: MemberState::Leaving, ..member(2) };
+        members.on_row(NOW, &format!("h{index}"), leaving);
+    }
+    assert!(members.owner(NOW, "job1").is_some());
+}
+
 /// The owner of jobs says that it writes more often, and is missed as much sooner.
 #[test]
 fn an_owner_of_jobs_is_missed_within_two_seconds() {
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -4,6 +4,7 @@
 //! make the decisions on jobs and on weights between two batches of its events.
 
 mod answers;
+mod cleanup;
 mod clock;
 mod duty;
 mod entry;
@@ -136,6 +137,7 @@
     }
     peers::listen(&node).await.context(ListenSnafu { address: own.peers.to_string() })?;
     feeds::start(&node);
+    tokio::task::spawn_local(cleanup::run(Rc::clone(&node)));
     info!(host = own.host.as_str(), zone = own.zone.as_str(), front:% = own.front, store:% = own.store; "started");
     loop {
         tokio::select! {
--- a/crates/daemon/src/hosted/duty.rs
+++ b/crates/daemon/src/hosted/duty.rs
@@ -212,7 +212,7 @@
 async fn save_plan(node: &Node, plan: &Plan) {
     let value = rows::encode(&plan.to_row());
     let key = RowKey::new(rows::FLEET, "", rows::PLAN);
-    let end = node.store.transact(&StoreTx { expected: Vec::new(), put: vec![(key, value)] }).await;
+    let end = node.store.transact(&StoreTx::put(vec![(key, value)])).await;
     info!(fence = plan.fence(), outcome:? = end; "plan_saved");
 }
 
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -1,14 +1,15 @@
 //! Follows the tables of the store, writes this daemon's heartbeats and takes over jobs.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::VecDeque, rc::Rc, time::Duration};
 
-use buckthornfall_core::store::{FeedEnd, RowKey, RowVersion, StoreTx, StoredRow, TxEnd};
+use buckthornfall_core::store::{FeedEnd, RowKey, RowPage, RowVersion, StoreTx, StoredRow, TxEnd};
 use buckthornfall_platform::{deployment, servers, store as wire};
 use buckthornfall_proto::{
     ids::ServerId,
     messages::{JobRow, JobState, MemberRow, MemberState, SuspectRow},
 };
 use log::{info, warn};
+use rustc_hash::FxHashSet;
 use tokio::time::sleep;
 
 use super::{
@@ -27,6 +28,8 @@
 const MIN_RATE_TIME: f64 = 0.1;
 /// Time between two looks at the owners of jobs.
 const OWNER_INTERVAL: Duration = Duration::from_millis(200);
+/// Writes of heartbeats whose shortest time counts: one alone may be held up.
+const WRITES_KEPT: usize = 16;
 /// Time between two looks at whether the store serves this daemon.
 const STORE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -100,11 +103,28 @@
         let steady = is_steady(node);
         node.backends.borrow_mut().retain(clock::now(), &listed, steady);
     }
+    if table == Table::Fleet {
+        forget_removed(node, &page);
+    }
     node.tables_read.set(node.tables_read.get().saturating_add(1));
     info!(table = table.name(), rows = page.rows.len(), version = page.version; "table_read");
     Some(page.version)
 }
 
+/// Jobs whose rows were removed while the history was lost.
+fn forget_removed(node: &Node, page: &RowPage) {
+    let listed: FxHashSet<_> =
+        page.rows.iter().filter_map(|row| row.key.key.strip_prefix(rows::JOB)).collect();
+    let gone: Vec<_> = {
+        let jobs = node.jobs.borrow();
+        let gone = jobs
+            .iter()
+            .filter(|(id, job)| job.version <= page.version && !listed.contains(id.as_str()));
+        gone.map(|(id, _)| id.clone()).collect()
+    };
+    gone.iter().for_each(|id| node.forget_job(id));
+}
+
 /// Entries that vanish close to a failure of the store may come back.
 fn is_steady(node: &Node) -> bool {
     clock::now().saturating_sub(node.store.steady_since())
@@ -181,7 +201,9 @@
             node.members.borrow_mut().on_row(clock::now(), host, member);
         }
     } else if let Some(id) = key.strip_prefix(rows::JOB) {
-        if let Some(job) = rows::decode::<JobRow>(row) {
+        if row.value.is_none() {
+            node.forget_job(id);
+        } else if let Some(job) = rows::decode::<JobRow>(row) {
             node.on_job(id, job, row.version);
         }
     } else if let Some(request) = key.strip_prefix(rows::SUSPECT) {
@@ -207,6 +229,7 @@
     let mut beat = 0;
     let mut last_beat = clock::now();
     let mut took = Duration::ZERO;
+    let mut writes = VecDeque::new();
     loop {
         if incarnation.is_none() {
             incarnation = next_incarnation(&node, &key).await;
@@ -228,11 +251,14 @@
                 incarnation,
                 beat,
                 beat_ms: u32::try_from(expected.as_millis()).unwrap_or(u32::MAX),
+                store_ms: writes.iter().min().copied().unwrap_or(u32::MAX),
                 requests_per_s: rate.round() as u32,
             };
-            let tx = StoreTx { expected: Vec::new(), put: vec![(key.clone(), rows::encode(&row))] };
+            let tx = StoreTx::put(vec![(key.clone(), rows::encode(&row))]);
             node.store.transact(&tx).await;
             took = clock::now().saturating_sub(last_beat);
+            writes.truncate(WRITES_KEPT - 1);
+            writes.push_front(u32::try_from(took.as_millis()).unwrap_or(u32::MAX));
         }
         let starting = node.state.get() == MemberState::Starting;
         let pause = if starting { FEED_PACE } else { beat_interval(&node) };
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -147,7 +147,7 @@
         let value = rows::encode(&SuspectRow { crashes });
         let node = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let tx = StoreTx { expected: Vec::new(), put: vec![(key, value)] };
+            let tx = StoreTx::put(vec![(key, value)]);
             let end = node.store.transact(&tx).await;
             info!(fingerprint = request, crashes, outcome:? = end; "request_suspected");
         });
@@ -174,6 +174,14 @@
         }
     }
 
+    /// Forgets a job whose row is gone.
+    pub fn forget_job(&self, id: &str) {
+        if self.jobs.borrow_mut().remove(id).is_some() {
+            let id = id.to_owned();
+            self.runner(move |runner, cx| runner.close(cx, &id));
+        }
+    }
+
     /// Open jobs that this daemon runs.
     pub fn owned_jobs(&self) -> Vec<(JobId, KnownJob)> {
         let jobs = self.jobs.borrow();
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -82,7 +82,7 @@
             let key = rows::progress_key(id, token, saving.sample, saving.number);
             (key, rows::encode(&saving.row))
         });
-        StoreTx { expected: Vec::new(), put: put.collect() }
+        StoreTx::put(put.collect())
     }
 
     fn on_saved(&mut self, id: &str, savings: &[Saving], saved: bool) {
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Removes an object; one that stays is garbage and harms nothing.
+    pub async fn drop_object(&self, name: &str) {
+        if let Err(e) = self.call(wire::drop_object(self.addr, name), OBJECT_LIMIT).await {
+            warn!(object = name, error:% = e; "object_left");
+        }
+    }
+
     /// Reads an object.
     pub async fn get_object(&self, name: &str) -> Option<Bytes> {
         let reply = self.call(wire::get_object(self.addr, name), OBJECT_LIMIT).await.ok()?;
--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -26,7 +26,7 @@
 /// Largest text that is stored as rows; a larger one becomes an object.
 const ROWS_BYTES: usize = 600_000;
 /// Time between two looks at the log for a reader that waits.
-const READ_INTERVAL: Duration = Duration::from_millis(80);
+const READ_INTERVAL: Duration = Duration::from_millis(40);
 /// Longest that a reader is kept waiting.
 const READ_WAIT_MAX: Duration = Duration::from_millis(1_000);
 /// Largest answer to a reader, in bytes of text.
@@ -141,7 +141,7 @@
         let end = body.len().min((index + 1) * size);
         (chunk_key(id, digest, index), body.slice(index * size..end))
     });
-    let tx = StoreTx { expected: Vec::new(), put: put.collect() };
+    let tx = StoreTx::put(put.collect());
     match node.store.transact(&tx).await {
         TxEnd::Committed(_) => Ok(u32::try_from(chunks).unwrap_or(u32::MAX)),
         // Without its row a job is not accepted, so nothing of it runs.
@@ -153,7 +153,8 @@
     RowKey::new(rows::SUBMISSIONS, id, &format!("{digest}.{index:04}"))
 }
 
-fn object_name(id: &str, digest: &str) -> String {
+/// Name of the object that holds a large text.
+pub fn object_name(id: &str, digest: &str) -> String {
     format!("submission-{id}-{digest}")
 }
 
@@ -198,7 +199,13 @@
 
 async fn load_once(node: &Rc<Node>, id: &str, row: &JobRow) -> Option<Loaded> {
     let policy = policy(node, id, row)?;
-    let text = read_text(node, id, row).await?;
+    let (results, progress) = (rows::result_key(id, 0, 0), RowKey::new(rows::PROGRESS, id, ""));
+    let (text, listed, saved) = tokio::join!(
+        read_text(node, id, row),
+        node.store.rows(&results, None),
+        node.store.rows(&progress, None),
+    );
+    let text = text?;
     let spec = match wire::submitted(&text) {
         Ok(spec) => spec,
         Err(e) => {
@@ -206,10 +213,8 @@
             return None;
         }
     };
-    let page = node.store.rows(&rows::result_key(id, 0, 0), None).await?;
-    let listed = rows::decode_results(&page.rows);
-    let page = node.store.rows(&RowKey::new(rows::PROGRESS, id, ""), None).await?;
-    let saved: Vec<_> = page
+    let listed = rows::decode_results(&listed?.rows);
+    let saved: Vec<_> = saved?
         .rows
         .iter()
         .filter_map(|row| Some((rows::progress_token(row).to_owned(), rows::decode(row)?)))
