--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -9,198 +9,30 @@
 mod log;
 mod order;
 mod progress;
+mod runs;
+mod spec;
 mod text;
 
 use std::{collections::BTreeMap, time::Duration};
 
 use buckthornfall_proto::{
-    ids::{ServerId, ServiceName, WeightVersion},
+    ids::{ServerId, WeightVersion},
     messages::ResultRow,
 };
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
 
+use self::runs::server_end;
 pub use self::{
     log::{AppendEnd, Batch},
     progress::{restored, Saving},
+    spec::{
+        GiveUp, JobAction, JobId, JobPolicy, JobSpec, RunEnd, RunId, SampleId, SampleSpec,
+        ScoreEnd, Scorer,
+    },
     text::Text,
 };
-use crate::{
-    backends::{Backends, Ended},
-    weights::Plan,
-    Now,
-};
-
-/// Id of a job.
-pub type JobId = String;
-/// Id of a sample; the same in a later job means the same sample.
-pub type SampleId = String;
-/// Number of a run, unique in a process.
-pub type RunId = u64;
-
-/// The request that scores a finished sample.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Scorer {
-    /// Id of the request.
-    pub id: String,
-    /// Its `Host` header.
-    pub host: String,
-    /// Its path.
-    pub path: String,
-    /// Its body.
-    pub body: Bytes,
-}
-
-/// One sample as it was submitted.
-#[derive(Debug, Clone, PartialEq)]
-pub struct SampleSpec {
-    /// Its id.
-    pub id: SampleId,
-    /// Path of the request to a model server.
-    pub path: String,
-    /// Headers of that request.
-    pub headers: Vec<(String, String)>,
-    /// Body of that request.
-    pub body: Bytes,
-    /// Group that shares its prompt.
-    pub group: String,
-    /// The submitter's estimate of its output tokens.
-    pub expected_tokens: u64,
-    /// How it is scored.
-    pub scorer: Option<Scorer>,
-}
-
-/// A job as it was submitted.
-#[derive(Debug, Clone, PartialEq)]
-pub struct JobSpec {
-    /// Model that makes the samples.
-    pub model: String,
-    /// Oldest version of the weights that may make a token.
-    pub min_version: WeightVersion,
-    /// Complete groups that the submitter waits for.
-    pub target_groups: usize,
-    /// All samples; those of groups that an earlier job left come first.
-    pub samples: Vec<SampleSpec>,
-}
-
-/// What the route of a job asks for.
-#[derive(Debug, Clone, PartialEq)]
-pub struct JobPolicy {
-    /// Service that runs the samples.
-    pub service: ServiceName,
-    /// Failures after which a sample is given up.
-    pub max_attempts: u32,
-    /// Rank among the routes; 0 goes first.
-    pub priority: u8,
-    /// Whether one version must make all of a sample.
-    pub single_version: bool,
-    /// When samples may be given up.
-    pub give_up_at: Now,
-    /// When the job was accepted, on this daemon's clock.
-    pub accepted: Now,
-}
-
-/// How a run ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RunEnd {
-    /// The stream is whole.
-    Complete,
-    /// The stream broke, or what came was not a stream of this sample.
-    Broken,
-    /// The server did not run it.
-    Refused,
-    /// The server ran it and failed.
-    Failed,
-    /// The sample can never be done.
-    Impossible,
-}
-
-/// How a request to a scorer ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ScoreEnd {
-    /// The score.
-    Scored(String),
-    /// The scorer ran it and failed.
-    Failed {
-        /// Failures after which the sample may be given up.
-        most: u32,
-    },
-    /// No usable answer came.
-    NoAnswer,
-}
-
-/// What the jobs ask for.
-#[derive(Debug, Clone, PartialEq)]
-pub enum JobAction {
-    /// Run a sample at a server.
-    Run {
-        /// The run.
-        run: RunId,
-        /// Its job.
-        job: JobId,
-        /// Index of the sample in the job.
-        sample: usize,
-        /// The server.
-        server: ServerId,
-        /// Last event that is known already.
-        after: Option<u64>,
-    },
-    /// End a run; nothing of it is taken any more.
-    Cancel {
-        /// The run.
-        run: RunId,
-        /// Its server.
-        server: ServerId,
-    },
-    /// End a run whose sample goes on at another server.
-    Move {
-        /// The run.
-        run: RunId,
-    },
-    /// Ask a sample's scorer.
-    Score {
-        /// The job.
-        job: JobId,
-        /// Index of the sample.
-        sample: usize,
-        /// Earlier requests of this sample to its scorer.
-        tries: u32,
-    },
-    /// Append to the job's log in the store.
-    Append {
-        /// The job.
-        job: JobId,
-        /// What to append.
-        batch: Batch,
-    },
-    /// Read the job's log again.
-    ReadLog {
-        /// The job.
-        job: JobId,
-    },
-    /// A sample was given up.
-    GaveUp {
-        /// The job.
-        job: JobId,
-        /// Id of the sample.
-        sample: SampleId,
-        /// Why.
-        reason: GiveUp,
-    },
-}
-
-/// Why a sample was given up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum GiveUp {
-    /// Servers failed it as often as the route allows.
-    Failures,
-    /// A server said that it can never be done.
-    Impossible,
-    /// Its scorer failed as often as the route allows.
-    ScorerFailures,
-    /// Its time is up.
-    Expired,
-}
+use crate::{backends::Backends, weights::Plan, Now};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
@@ -268,8 +100,6 @@
 const KEPT_TEXTS: usize = 512;
 /// How long such a text is kept: a few steps of a trainer.
 const KEPT_FOR: Duration = Duration::from_secs(30);
-/// Weight of a server's load against its speed: few requests slow a batch down little.
-const LOAD_WEIGHT: f64 = 0.3;
 
 /// All jobs that a daemon runs.
 #[derive(Debug, Default)]
@@ -582,125 +412,6 @@
         self.cancel_runs(|run, known| !wanted(run, known), out);
         self.jobs = jobs;
     }
-
-    /// Ends runs at slow servers whose samples can go on at a faster one at once.
-    fn move_slow_runs(
-        &mut self,
-        now: Now,
-        backends: &mut Backends,
-        plan: &Plan,
-        out: &mut Vec<JobAction>,
-    ) {
-        let mut slow: Vec<_> = self.runs.iter().filter(|(_, run)| run.may_move()).collect();
-        slow.sort_by_key(|(id, run)| (std::cmp::Reverse(run.events), **id));
-        let slow: Vec<_> = slow.into_iter().map(|(id, _)| *id).collect();
-        for id in slow {
-            let run = &self.runs[&id];
-            let Some(job) = self.jobs.get_mut(&run.job) else { continue };
-            if job.policy.single_version || !run.is_slower(now, job, backends, plan) {
-                continue;
-            }
-            let run = self.runs.remove(&id).expect("looked up above");
-            let sample = &mut job.samples[run.sample];
-            sample.state = State::Waiting(now);
-            sample.moves += 1;
-            backends.ended(now, &run.server, Ended::Cancelled);
-            out.push(JobAction::Move { run: id });
-            self.start_run(now, &run.job, run.sample, backends, plan, out);
-        }
-    }
-
-    fn start_runs(
-        &mut self,
-        now: Now,
-        backends: &mut Backends,
-        plan: &Plan,
-        out: &mut Vec<JobAction>,
-    ) {
-        let mut ids: Vec<_> = self.jobs.keys().cloned().collect();
-        ids.sort_by_key(|id| (self.jobs[id].policy.priority, self.jobs[id].policy.accepted));
-        for id in ids {
-            for position in 0..self.jobs[&id].order.len() {
-                let job = &self.jobs[&id];
-                let index = job.order[position];
-                let due = matches!(job.samples[index].state, State::Waiting(at) if at <= now);
-                if !due {
-                    continue;
-                }
-                if !self.start_run(now, &id, index, backends, plan, out) {
-                    break;
-                }
-            }
-        }
-    }
-
-    /// Starts a run of a sample if a server has a free slot.
-    fn start_run(
-        &mut self,
-        now: Now,
-        id: &JobId,
-        index: usize,
-        backends: &mut Backends,
-        plan: &Plan,
-        out: &mut Vec<JobAction>,
-    ) -> bool {
-        let Some(job) = self.jobs.get_mut(id) else { return false };
-        let Some(server) = choose(now, job, backends, plan) else { return false };
-        self.next_run += 1;
-        let run = self.next_run;
-        let sample = &mut job.samples[index];
-        sample.state = State::Running(run);
-        sample.text.prepare(job.spec.min_version, job.policy.single_version);
-        if sample.text.is_empty() {
-            sample.saved = 0;
-            // The next number, so that a save of the old text that is in flight does not count.
-            sample.saved_rows += 1;
-        }
-        backends.started(&server);
-        let after = sample.text.last_event();
-        let known = Run {
-            job: id.clone(),
-            sample: index,
-            server: server.clone(),
-            events: 0,
-            last_event: None,
-        };
-        self.runs.insert(run, known);
-        out.push(JobAction::Run { run, job: id.clone(), sample: index, server, after });
-        true
-    }
-}
-
-/// When a run moves: a move costs a connection, so the gain must be large, or small but for one of
-/// the few long samples, which have the most left to gain.
-struct MoveRule {
-    /// Fewest events that the run has made.
-    events: u32,
-    /// Least ratio of the times that the two servers take for an event.
-    gain: f64,
-    /// Most moves that the sample has made.
-    moves: u32,
-}
-
-const MOVE_RULES: [MoveRule; 2] =
-    [MoveRule { events: 3, gain: 1.8, moves: 3 }, MoveRule { events: 30, gain: 1.22, moves: 0 }];
-
-impl Run {
-    fn may_move(&self) -> bool {
-        MOVE_RULES.iter().any(|rule| self.events >= rule.events)
-    }
-
-    /// Whether a server with a free slot is faster by enough.
-    fn is_slower(&self, now: Now, job: &Job, backends: &Backends, plan: &Plan) -> bool {
-        let Some(other) = choose(now, job, backends, plan) else { return false };
-        let pace = |id: &str| backends.service_time(now, id).unwrap_or_default().as_secs_f64();
-        let gain = pace(&self.server) / pace(&other).max(f64::EPSILON);
-        let moves = job.samples[self.sample].moves;
-        let fits = |rule: &MoveRule| {
-            self.events >= rule.events && gain >= rule.gain && moves <= rule.moves
-        };
-        other != self.server && MOVE_RULES.iter().any(fits)
-    }
 }
 
 struct JobView {
@@ -723,44 +434,3 @@
         out.push(JobAction::GaveUp { job: id.to_owned(), sample, reason });
     }
 }
-
-/// A server with a free slot and weights that are new enough: one that the plan gives to the
-/// model, or any other while none of those is usable.
-fn choose(now: Now, job: &Job, backends: &Backends, plan: &Plan) -> Option<ServerId> {
-    let model = &job.spec.model;
-    let fits = |id: &ServerId| {
-        backends.usable(now, id)
-            && backends.get(id).is_some_and(|entry| {
-                entry.service == job.policy.service
-                    && entry.version(model).is_some_and(|v| v >= job.spec.min_version)
-            })
-    };
-    let planned: Vec<_> = plan.servers(model).iter().filter(|id| fits(id)).cloned().collect();
-    let candidates = if planned.is_empty() {
-        backends.all().map(|entry| entry.id.clone()).filter(fits).collect()
-    } else {
-        planned
-    };
-    let free = |id: &ServerId| {
-        let slots = backends.get(id).map_or(0, |entry| entry.slots);
-        backends.inflight(id) < slots
-    };
-    let cost = |id: &ServerId| {
-        let slots = backends.get(id).map_or(1, |entry| entry.slots.max(1));
-        let load = f64::from(backends.inflight(id)) / f64::from(slots);
-        let pace = backends.service_time(now, id).unwrap_or_default().as_secs_f64();
-        pace * (1.0 + LOAD_WEIGHT * load)
-    };
-    candidates
-        .into_iter()
-        .filter(free)
-        .min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| a.cmp(b)))
-}
-
-fn server_end(end: &RunEnd) -> Ended {
-    match end {
-        RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible => Ended::Done,
-        RunEnd::Broken => Ended::Failed,
-        RunEnd::Refused => Ended::Refused,
-    }
-}
--- /dev/null
+++ b/crates/core/src/job/runs.rs
@@ -0,0 +1,175 @@
+//! Which sample runs at which server, and when a run moves to another one.
+
+use buckthornfall_proto::ids::ServerId;
+
+use super::{Job, JobAction, JobId, Jobs, Run, RunEnd, State};
+use crate::{
+    backends::{Backends, Ended},
+    weights::Plan,
+    Now,
+};
+
+/// Weight of a server's load against its speed: few requests slow a batch down little.
+const LOAD_WEIGHT: f64 = 0.3;
+
+impl Jobs {
+    /// Ends runs at slow servers whose samples can go on at a faster one at once.
+    pub(super) fn move_slow_runs(
+        &mut self,
+        now: Now,
+        backends: &mut Backends,
+        plan: &Plan,
+        out: &mut Vec<JobAction>,
+    ) {
+        let mut slow: Vec<_> = self.runs.iter().filter(|(_, run)| run.may_move()).collect();
+        slow.sort_by_key(|(id, run)| (std::cmp::Reverse(run.events), **id));
+        let slow: Vec<_> = slow.into_iter().map(|(id, _)| *id).collect();
+        for id in slow {
+            let run = &self.runs[&id];
+            let Some(job) = self.jobs.get_mut(&run.job) else { continue };
+            if job.policy.single_version || !run.is_slower(now, job, backends, plan) {
+                continue;
+            }
+            let run = self.runs.remove(&id).expect("looked up above");
+            let sample = &mut job.samples[run.sample];
+            sample.state = State::Waiting(now);
+            sample.moves += 1;
+            backends.ended(now, &run.server, Ended::Cancelled);
+            out.push(JobAction::Move { run: id });
+            self.start_run(now, &run.job, run.sample, backends, plan, out);
+        }
+    }
+
+    pub(super) fn start_runs(
+        &mut self,
+        now: Now,
+        backends: &mut Backends,
+        plan: &Plan,
+        out: &mut Vec<JobAction>,
+    ) {
+        let mut ids: Vec<_> = self.jobs.keys().cloned().collect();
+        ids.sort_by_key(|id| (self.jobs[id].policy.priority, self.jobs[id].policy.accepted));
+        for id in ids {
+            for position in 0..self.jobs[&id].order.len() {
+                let job = &self.jobs[&id];
+                let index = job.order[position];
+                let due = matches!(job.samples[index].state, State::Waiting(at) if at <= now);
+                if !due {
+                    continue;
+                }
+                if !self.start_run(now, &id, index, backends, plan, out) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Starts a run of a sample if a server has a free slot.
+    fn start_run(
+        &mut self,
+        now: Now,
+        id: &JobId,
+        index: usize,
+        backends: &mut Backends,
+        plan: &Plan,
+        out: &mut Vec<JobAction>,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else { return false };
+        let Some(server) = choose(now, job, backends, plan) else { return false };
+        self.next_run += 1;
+        let run = self.next_run;
+        let sample = &mut job.samples[index];
+        sample.state = State::Running(run);
+        sample.text.prepare(job.spec.min_version, job.policy.single_version);
+        if sample.text.is_empty() {
+            sample.saved = 0;
+            // The next number, so that a save of the old text that is in flight does not count.
+            sample.saved_rows += 1;
+        }
+        backends.started(&server);
+        let after = sample.text.last_event();
+        let known = Run {
+            job: id.clone(),
+            sample: index,
+            server: server.clone(),
+            events: 0,
+            last_event: None,
+        };
+        self.runs.insert(run, known);
+        out.push(JobAction::Run { run, job: id.clone(), sample: index, server, after });
+        true
+    }
+}
+
+/// When a run moves: a move costs a connection, so the gain must be large, or small but for one of
+/// the few long samples, which have the most left to gain.
+struct MoveRule {
+    /// Fewest events that the run has made.
+    events: u32,
+    /// Least ratio of the times that the two servers take for an event.
+    gain: f64,
+    /// Most moves that the sample has made.
+    moves: u32,
+}
+
+const MOVE_RULES: [MoveRule; 2] =
+    [MoveRule { events: 3, gain: 1.8, moves: 3 }, MoveRule { events: 30, gain: 1.22, moves: 0 }];
+
+impl Run {
+    fn may_move(&self) -> bool {
+        MOVE_RULES.iter().any(|rule| self.events >= rule.events)
+    }
+
+    /// Whether a server with a free slot is faster by enough.
+    fn is_slower(&self, now: Now, job: &Job, backends: &Backends, plan: &Plan) -> bool {
+        let Some(other) = choose(now, job, backends, plan) else { return false };
+        let pace = |id: &str| backends.service_time(now, id).unwrap_or_default().as_secs_f64();
+        let gain = pace(&self.server) / pace(&other).max(f64::EPSILON);
+        let moves = job.samples[self.sample].moves;
+        let fits = |rule: &MoveRule| {
+            self.events >= rule.events && gain >= rule.gain && moves <= rule.moves
+        };
+        other != self.server && MOVE_RULES.iter().any(fits)
+    }
+}
+
+/// A server with a free slot and weights that are new enough: one that the plan gives to the
+/// model, or any other while none of those is usable.
+fn choose(now: Now, job: &Job, backends: &Backends, plan: &Plan) -> Option<ServerId> {
+    let model = &job.spec.model;
+    let fits = |id: &ServerId| {
+        backends.usable(now, id)
+            && backends.get(id).is_some_and(|entry| {
+                entry.service == job.policy.service
+                    && entry.version(model).is_some_and(|v| v >= job.spec.min_version)
+            })
+    };
+    let planned: Vec<_> = plan.servers(model).iter().filter(|id| fits(id)).cloned().collect();
+    let candidates = if planned.is_empty() {
+        backends.all().map(|entry| entry.id.clone()).filter(fits).collect()
+    } else {
+        planned
+    };
+    let free = |id: &ServerId| {
+        let slots = backends.get(id).map_or(0, |entry| entry.slots);
+        backends.inflight(id) < slots
+    };
+    let cost = |id: &ServerId| {
+        let slots = backends.get(id).map_or(1, |entry| entry.slots.max(1));
+        let load = f64::from(backends.inflight(id)) / f64::from(slots);
+        let pace = backends.service_time(now, id).unwrap_or_default().as_secs_f64();
+        pace * (1.0 + LOAD_WEIGHT * load)
+    };
+    candidates
+        .into_iter()
+        .filter(free)
+        .min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| a.cmp(b)))
+}
+
+pub(super) fn server_end(end: &RunEnd) -> Ended {
+    match end {
+        RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible => Ended::Done,
+        RunEnd::Broken => Ended::Failed,
+        RunEnd::Refused => Ended::Refused,
+    }
+}
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -10,8 +10,10 @@
 mod entry;
 mod feeds;
 mod forward;
+mod heartbeat;
 mod http;
 mod node;
+mod owners;
 mod peers;
 mod rows;
 mod runner;
@@ -137,6 +139,8 @@
     }
     peers::listen(&node).await.context(ListenSnafu { address: own.peers.to_string() })?;
     feeds::start(&node);
+    heartbeat::start(&node);
+    tokio::task::spawn_local(owners::watch(Rc::clone(&node)));
     tokio::task::spawn_local(cleanup::run(Rc::clone(&node)));
     info!(host = own.host.as_str(), zone = own.zone.as_str(), front:% = own.front, store:% = own.store; "started");
     loop {
@@ -216,5 +220,5 @@
     for save in saves {
         node.store.transact(&save).await;
     }
-    feeds::hand_over(node).await;
+    owners::hand_over(node).await;
 }
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -1,37 +1,25 @@
-//! Follows the tables of the store, writes this daemon's heartbeats and takes over jobs.
+//! Follows the tables of the store.
 
-use std::{collections::VecDeque, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use buckthornfall_core::store::{FeedEnd, RowKey, RowPage, RowVersion, StoreTx, StoredRow, TxEnd};
+use buckthornfall_core::store::{FeedEnd, RowKey, RowPage, RowVersion, StoredRow};
 use buckthornfall_platform::{deployment, servers, store as wire};
 use buckthornfall_proto::{
     ids::ServerId,
-    messages::{JobRow, JobState, MemberRow, MemberState, SuspectRow},
+    messages::{JobRow, MemberRow, SuspectRow},
 };
 use log::{info, warn};
 use rustc_hash::FxHashSet;
 use tokio::time::sleep;
 
-use super::{
-    clock,
-    node::{KnownJob, Node},
-    rows,
-};
+use super::{clock, node::Node, rows};
 
 /// Shortest time between two calls for one table, so that changes come in batches.
-const FEED_PACE: Duration = Duration::from_millis(25);
+pub const FEED_PACE: Duration = Duration::from_millis(25);
 /// The same for the entries of servers, which change all the time.
 const SERVER_PACE: Duration = Duration::from_millis(120);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Shortest time over which a rate is counted, in seconds.
-const MIN_RATE_TIME: f64 = 0.1;
-/// Time between two looks at the owners of jobs.
-const OWNER_INTERVAL: Duration = Duration::from_millis(200);
-/// Writes of heartbeats whose shortest time counts: one alone may be held up.
-const WRITES_KEPT: usize = 16;
-/// Time between two looks at whether the store serves this daemon.
-const STORE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A table that is followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,9 +51,6 @@
     for table in [Table::Operator, Table::Servers, Table::Fleet] {
         tokio::task::spawn_local(follow(Rc::clone(node), table));
     }
-    tokio::task::spawn_local(beat(Rc::clone(node)));
-    tokio::task::spawn_local(watch_store(Rc::clone(node)));
-    tokio::task::spawn_local(watch_owners(Rc::clone(node)));
 }
 
 async fn follow(node: Rc<Node>, table: Table) {
@@ -221,134 +206,3 @@
         }
     }
 }
-
-/// Writes this daemon's row again and again.
-async fn beat(node: Rc<Node>) {
-    let key = RowKey::new(rows::FLEET, "", &format!("{}{}", rows::MEMBER, node.settings.host));
-    let mut incarnation = None;
-    let mut beat = 0;
-    let mut last_beat = clock::now();
-    let mut took = Duration::ZERO;
-    let mut writes = VecDeque::new();
-    loop {
-        if incarnation.is_none() {
-            incarnation = next_incarnation(&node, &key).await;
-        }
-        if node.serve_if_ready() {
-            info!(host = node.settings.host.as_str(); "serving");
-        }
-        if let Some(incarnation) = incarnation {
-            beat += 1;
-            let since = clock::now().saturating_sub(last_beat).as_secs_f64().max(MIN_RATE_TIME);
-            last_beat = clock::now();
-            let rate = f64::from(node.requests.take()) / since;
-            let expected = beat_interval(&node) + took;
-            let row = MemberRow {
-                front: node.settings.front.to_string(),
-                peers: node.settings.peers.to_string(),
-                zone: node.settings.zone.clone(),
-                state: node.state.get(),
-                incarnation,
-                beat,
-                beat_ms: u32::try_from(expected.as_millis()).unwrap_or(u32::MAX),
-                store_ms: writes.iter().min().copied().unwrap_or(u32::MAX),
-                requests_per_s: rate.round() as u32,
-            };
-            let tx = StoreTx::put(vec![(key.clone(), rows::encode(&row))]);
-            node.store.transact(&tx).await;
-            took = clock::now().saturating_sub(last_beat);
-            writes.truncate(WRITES_KEPT - 1);
-            writes.push_front(u32::try_from(took.as_millis()).unwrap_or(u32::MAX));
-        }
-        let starting = node.state.get() == MemberState::Starting;
-        let pause = if starting { FEED_PACE } else { beat_interval(&node) };
-        tokio::select! {
-            () = sleep(pause) => {}
-            () = node.stop.notified() => {}
-            () = node.job_taken.notified() => {}
-        }
-    }
-}
-
-fn beat_interval(node: &Node) -> Duration {
-    node.members.borrow().beat_interval(!node.owned_jobs().is_empty())
-}
-
-/// One more than that of the last start of this host.
-async fn next_incarnation(node: &Node, key: &RowKey) -> Option<u64> {
-    let row = node.store.row(key).await.ok()?;
-    let last = row.as_ref().and_then(rows::decode::<MemberRow>);
-    Some(last.map_or(1, |last| last.incarnation + 1))
-}
-
-/// Keeps the list of daemons that may call the store for this one, and looks whether that is needed
-/// any more. A daemon that has just started knows just those that its settings name.
-async fn watch_store(node: Rc<Node>) {
-    loop {
-        let mut relays = node.members.borrow().relays(clock::now(), &node.location);
-        if relays.is_empty() {
-            relays = node.settings.seeds.iter().map(ToString::to_string).collect();
-        }
-        node.store.set_relays(relays);
-        if node.store.is_relaying() {
-            let node = Rc::clone(&node);
-            tokio::task::spawn_local(async move { node.store.probe().await });
-        }
-        sleep(STORE_INTERVAL).await;
-    }
-}
-
-/// Takes over jobs whose owner no longer writes heartbeats.
-async fn watch_owners(node: Rc<Node>) {
-    loop {
-        sleep(OWNER_INTERVAL).await;
-        if node.state.get() != MemberState::Serving {
-            continue;
-        }
-        if node.store.is_lost() {
-            continue;
-        }
-        node.servers.sweep();
-        node.backends.borrow_mut().expire(node.store.steady_since(), clock::now());
-        for (id, row, version) in orphans(&node) {
-            let owner = node.settings.host.clone();
-            take_over(&node, &id, row, version, owner).await;
-        }
-    }
-}
-
-fn orphans(node: &Node) -> Vec<(String, JobRow, RowVersion)> {
-    let now = clock::now();
-    let members = node.members.borrow();
-    let jobs = node.jobs.borrow();
-    let orphan = |row: &JobRow| {
-        row.state == JobState::Open
-            && row.owner != node.settings.host
-            && !members.live(now, &row.owner)
-            && members.owner(now, &row.model).is_some_and(|owner| *owner == node.settings.host)
-    };
-    let found = jobs.iter().filter(|(_, job)| orphan(&job.row));
-    found.map(|(id, job)| (id.clone(), job.row.clone(), job.version)).collect()
-}
-
-/// Makes `owner` the owner of a job if its row still has `version`.
-pub async fn take_over(node: &Rc<Node>, id: &str, row: JobRow, version: RowVersion, owner: String) {
-    let last = row.owner.clone();
-    let next = JobRow { owner, ..row };
-    let tx = StoreTx::replace(Node::job_key(id), version, rows::encode(&next));
-    let end = node.store.transact(&tx).await;
-    info!(job = id, last, owner = next.owner.as_str(), row_version = version, outcome:? = end; "job_owner_change");
-    if let TxEnd::Committed(version) = end {
-        node.on_job(id, next, version);
-    }
-}
-
-/// Gives all jobs of this daemon to others, at a planned stop.
-pub async fn hand_over(node: &Rc<Node>) {
-    for (id, KnownJob { row, version }) in node.owned_jobs() {
-        let next = node.members.borrow().owner(clock::now(), &row.model).cloned();
-        if let Some(next) = next.filter(|next| *next != node.settings.host) {
-            take_over(node, &id, row, version, next).await;
-        }
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/hosted/owners.rs
@@ -0,0 +1,72 @@
+//! Which daemon runs a job: takeovers of jobs that nobody runs, and the hand-over at a planned stop.
+
+use std::{rc::Rc, time::Duration};
+
+use buckthornfall_core::store::{RowVersion, StoreTx, TxEnd};
+use buckthornfall_proto::messages::{JobRow, JobState, MemberState};
+use log::info;
+use tokio::time::sleep;
+
+use super::{
+    clock,
+    node::{KnownJob, Node},
+    rows,
+};
+
+/// Time between two looks at the owners of jobs.
+const OWNER_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Takes over jobs whose owner no longer writes heartbeats.
+pub async fn watch(node: Rc<Node>) {
+    loop {
+        sleep(OWNER_INTERVAL).await;
+        if node.state.get() != MemberState::Serving {
+            continue;
+        }
+        if node.store.is_lost() {
+            continue;
+        }
+        node.servers.sweep();
+        node.backends.borrow_mut().expire(node.store.steady_since(), clock::now());
+        for (id, row, version) in orphans(&node) {
+            let owner = node.settings.host.clone();
+            take_over(&node, &id, row, version, owner).await;
+        }
+    }
+}
+
+fn orphans(node: &Node) -> Vec<(String, JobRow, RowVersion)> {
+    let now = clock::now();
+    let members = node.members.borrow();
+    let jobs = node.jobs.borrow();
+    let orphan = |row: &JobRow| {
+        row.state == JobState::Open
+            && row.owner != node.settings.host
+            && !members.live(now, &row.owner)
+            && members.owner(now, &row.model).is_some_and(|owner| *owner == node.settings.host)
+    };
+    let found = jobs.iter().filter(|(_, job)| orphan(&job.row));
+    found.map(|(id, job)| (id.clone(), job.row.clone(), job.version)).collect()
+}
+
+/// Makes `owner` the owner of a job if its row still has `version`.
+pub async fn take_over(node: &Rc<Node>, id: &str, row: JobRow, version: RowVersion, owner: String) {
+    let last = row.owner.clone();
+    let next = JobRow { owner, ..row };
+    let tx = StoreTx::replace(Node::job_key(id), version, rows::encode(&next));
+    let end = node.store.transact(&tx).await;
+    info!(job = id, last, owner = next.owner.as_str(), row_version = version, outcome:? = end; "job_owner_change");
+    if let TxEnd::Committed(version) = end {
+        node.on_job(id, next, version);
+    }
+}
+
+/// Gives all jobs of this daemon to others, at a planned stop.
+pub async fn hand_over(node: &Rc<Node>) {
+    for (id, KnownJob { row, version }) in node.owned_jobs() {
+        let next = node.members.borrow().owner(clock::now(), &row.model).cloned();
+        if let Some(next) = next.filter(|next| *next != node.settings.host) {
+            take_over(node, &id, row, version, next).await;
+        }
+    }
+}
