Samples avoid servers that load weights

Cause: a step is asked when a version is named, which is when half of its servers begin to load it.

Change: for 3 s after a version was named, servers without it weigh more, those that load first most; one that refuses then is left alone until its entry shows the version, 1 s at most; no run moves to such a server. Tests: tests/jobs.rs.

--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -56,6 +56,8 @@
     Done,
     /// The server refused the request and did not run it.
     Refused,
+    /// The server refused the request because it loads other weights.
+    Loading,
     /// No usable answer came.
     Failed,
     /// The request was given up for a reason that is not the server's.
@@ -68,6 +70,8 @@
 const FAILURE_PAUSE_MAX: Duration = Duration::from_secs(4);
 /// Pause after a refusal: about the time in which a slot becomes free or a load goes on.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(120);
+/// Longest pause of a server that loads weights; its entry shows the end of the load.
+const LOAD_PAUSE: Duration = Duration::from_millis(1_000);
 /// Service time that is assumed until a server has answered.
 const ASSUMED_TIME: Duration = Duration::from_millis(30);
 /// Age after which a learned service time no longer counts.
@@ -86,6 +90,8 @@
     /// Failures without an answer in between.
     failures: u32,
     paused_until: Now,
+    /// Until when it is taken to load weights.
+    loading_until: Now,
     /// Learned service time in seconds, with the time of the last sample.
     learned: Option<(f64, Now)>,
     /// When the entry vanished while the store was not steady.
@@ -99,6 +105,7 @@
             inflight: 0,
             failures: 0,
             paused_until: Now::ZERO,
+            loading_until: Now::ZERO,
             learned: None,
             lapsed: None,
         }
@@ -173,6 +180,9 @@
     pub fn upsert(&mut self, entry: Backend) {
         match self.servers.get_mut(&entry.id) {
             Some(known) if known.entry.started_ms == entry.started_ms => {
+                if known.entry.models != entry.models {
+                    known.loading_until = Now::ZERO;
+                }
                 known.entry = entry;
                 known.lapsed = None;
             }
@@ -216,7 +226,9 @@
 
     /// Whether a server takes new requests now.
     pub fn usable(&self, now: Now, id: &str) -> bool {
-        self.servers.get(id).is_some_and(|known| !known.entry.draining && known.paused_until <= now)
+        self.servers.get(id).is_some_and(|known| {
+            !known.entry.draining && known.paused_until.max(known.loading_until) <= now
+        })
     }
 
     /// Requests of this daemon at a server.
@@ -292,6 +304,7 @@
                 known.paused_until = Now::ZERO;
             }
             Ended::Refused => known.paused_until = known.paused_until.max(now + REFUSAL_PAUSE),
+            Ended::Loading => known.loading_until = now + LOAD_PAUSE,
             Ended::Failed => {
                 let pause = FAILURE_PAUSE * 2u32.pow(known.failures.min(4));
                 known.failures += 1;
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -32,7 +32,11 @@
     },
     text::Text,
 };
-use crate::{backends::Backends, weights::Plan, Now};
+use crate::{
+    backends::{Backends, Ended},
+    weights::Plan,
+    Now,
+};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
@@ -107,9 +111,18 @@
     jobs: BTreeMap<JobId, Job>,
     runs: FxHashMap<RunId, Run>,
     kept: FxHashMap<SampleId, Kept>,
+    /// Newest version of each model.
+    named: FxHashMap<String, Named>,
     next_run: RunId,
 }
 
+/// The version that was named last for a model.
+#[derive(Debug, Clone, Copy)]
+struct Named {
+    version: WeightVersion,
+    since: Now,
+}
+
 impl Jobs {
     /// Starts to run a job whose log holds `listed` already, and of which `saved` is known.
     pub fn open(
@@ -174,6 +187,14 @@
         self.runs.len()
     }
 
+    /// Takes a version that was named: servers without it begin to load.
+    pub fn on_named(&mut self, now: Now, model: &str, version: WeightVersion) {
+        let known = self.named.get(model).map_or(0, |named| named.version);
+        if version > known {
+            self.named.insert(model.to_owned(), Named { version, since: now });
+        }
+    }
+
     /// Starts what can be started now.
     pub fn tick(
         &mut self,
@@ -248,7 +269,13 @@
         out: &mut Vec<JobAction>,
     ) {
         let Some(known) = self.runs.remove(&run) else { return };
-        backends.ended(now, &known.server, server_end(end));
+        let job = self.jobs.get(&known.job);
+        let loads = |job: &Job| job.loads(now, &self.named, backends, &known.server);
+        let how = match server_end(end) {
+            Ended::Refused if job.is_some_and(loads) => Ended::Loading,
+            how => how,
+        };
+        backends.ended(now, &known.server, how);
         let Some(job) = self.jobs.get_mut(&known.job) else { return };
         let max_attempts = job.policy.max_attempts;
         let scored = job.spec.samples[known.sample].scorer.is_some();
--- a/crates/core/src/job/runs.rs
+++ b/crates/core/src/job/runs.rs
@@ -1,8 +1,11 @@
 //! Which sample runs at which server, and when a run moves to another one.
 
+use std::time::Duration;
+
 use buckthornfall_proto::ids::ServerId;
+use rustc_hash::FxHashMap;
 
-use super::{Job, JobAction, JobId, Jobs, Run, RunEnd, State};
+use super::{Job, JobAction, JobId, Jobs, Named, Run, RunEnd, State};
 use crate::{
     backends::{Backends, Ended},
     weights::Plan,
@@ -12,6 +15,14 @@
 /// Weight of a server's load against its speed: few requests slow a batch down little.
 const LOAD_WEIGHT: f64 = 0.3;
 
+/// Time after a version was named in which servers load it.
+const LOADS_TAKE: Duration = Duration::from_secs(3);
+/// Weight against a server that is likely to load now: a refusal costs a round trip, so it weighs
+/// less than a server of half the speed.
+const LOADS_EARLY: f64 = 0.6;
+/// The same of a server that is likely to load next.
+const LOADS_LATE: f64 = 0.3;
+
 impl Jobs {
     /// Ends runs at slow servers whose samples can go on at a faster one at once.
     pub(super) fn move_slow_runs(
@@ -27,7 +38,7 @@
         for id in slow {
             let run = &self.runs[&id];
             let Some(job) = self.jobs.get_mut(&run.job) else { continue };
-            if job.policy.single_version || !run.is_slower(now, job, backends, plan) {
+            if job.policy.single_version || !run.is_slower(now, job, &self.named, backends, plan) {
                 continue;
             }
             let run = self.runs.remove(&id).expect("looked up above");
@@ -75,7 +86,7 @@
         out: &mut Vec<JobAction>,
     ) -> bool {
         let Some(job) = self.jobs.get_mut(id) else { return false };
-        let Some(server) = choose(now, job, backends, plan) else { return false };
+        let Some(server) = choose(now, job, &self.named, backends, plan) else { return false };
         self.next_run += 1;
         let run = self.next_run;
         let sample = &mut job.samples[index];
@@ -121,8 +132,18 @@
     }
 
     /// Whether a server with a free slot is faster by enough.
-    fn is_slower(&self, now: Now, job: &Job, backends: &Backends, plan: &Plan) -> bool {
-        let Some(other) = choose(now, job, backends, plan) else { return false };
+    fn is_slower(
+        &self,
+        now: Now,
+        job: &Job,
+        named: &FxHashMap<String, Named>,
+        backends: &Backends,
+        plan: &Plan,
+    ) -> bool {
+        let Some(other) = choose(now, job, named, backends, plan) else { return false };
+        if job.loads(now, named, backends, &other) {
+            return false;
+        }
         let pace = |id: &str| backends.service_time(now, id).unwrap_or_default().as_secs_f64();
         let gain = pace(&self.server) / pace(&other).max(f64::EPSILON);
         let moves = job.samples[self.sample].moves;
@@ -135,7 +156,13 @@
 
 /// A server with a free slot and weights that are new enough: one that the plan gives to the
 /// model, or any other while none of those is usable.
-fn choose(now: Now, job: &Job, backends: &Backends, plan: &Plan) -> Option<ServerId> {
+fn choose(
+    now: Now,
+    job: &Job,
+    named: &FxHashMap<String, Named>,
+    backends: &Backends,
+    plan: &Plan,
+) -> Option<ServerId> {
     let model = &job.spec.model;
     let fits = |id: &ServerId| {
         backends.usable(now, id)
@@ -158,7 +185,12 @@
         let slots = backends.get(id).map_or(1, |entry| entry.slots.max(1));
         let load = f64::from(backends.inflight(id)) / f64::from(slots);
         let pace = backends.service_time(now, id).unwrap_or_default().as_secs_f64();
-        pace * (1.0 + LOAD_WEIGHT * load)
+        let loads = match job.loads(now, named, backends, id) {
+            false => 0.0,
+            true if plan.loads_early(model, id) => LOADS_EARLY,
+            true => LOADS_LATE,
+        };
+        pace * (1.0 + LOAD_WEIGHT * load + loads)
     };
     candidates
         .into_iter()
@@ -166,6 +198,21 @@
         .min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| a.cmp(b)))
 }
 
+impl Job {
+    /// Whether a server is likely to load the newest version of the job's model.
+    pub(super) fn loads(
+        &self,
+        now: Now,
+        named: &FxHashMap<String, Named>,
+        backends: &Backends,
+        server: &str,
+    ) -> bool {
+        let Some(named) = named.get(&self.spec.model) else { return false };
+        let held = backends.get(server).and_then(|entry| entry.version(&self.spec.model));
+        now < named.since + LOADS_TAKE && held.is_some_and(|held| held < named.version)
+    }
+}
+
 pub(super) fn server_end(end: &RunEnd) -> Ended {
     match end {
         RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible => Ended::Done,
--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -75,6 +75,13 @@
         self.servers.get(model).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether a server is among the half of a model's servers that load a new version first.
+    pub fn loads_early(&self, model: &str, server: &str) -> bool {
+        let planned = self.servers(model);
+        let before = planned.iter().filter(|id| id.as_str() < server).count();
+        before < planned.len() / 2
+    }
+
     /// The plan that follows from the servers and the demand of now; `None` if it is this one.
     pub(super) fn revise(
         &self,
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -11,6 +11,7 @@
     weights::Plan,
     Now,
 };
+use buckthornfall_proto::messages::{PlanEntry, PlanRow};
 use bytes::Bytes;
 
 const MODEL: &str = "drafts";
@@ -442,3 +443,57 @@
     world.stream(run, 1, 20, 40);
     assert_eq!(world.jobs.unsaved("job").remove(0).row.first, 1);
 }
+
+/// A server that refuses while it loads is not asked again until its entry shows the version; the
+/// next sample does not meet it either.
+#[test]
+fn a_server_that_loads_is_left_alone_until_its_entry_shows_the_version() {
+    let mut world = World::new(&[("s1", 1), ("s2", 1)]);
+    world.plan = plan(&["s1", "s2"]);
+    world.jobs.on_named(world.now, MODEL, 2);
+    let samples = (0..4).map(|n| sample(&format!("a{n}"), "g", 10)).collect();
+    world.open("j", spec(1, samples));
+    let started = world.tick();
+    // s1 loads first, so the first samples, the longest, go to the other one.
+    let servers = servers_of(&started);
+    assert_eq!(servers, ["s2", "s2", "s1", "s1"]);
+    let refused: Vec<_> = started
+        .iter()
+        .filter_map(|action| match action {
+            JobAction::Run { run, server, .. } if server == "s1" => Some(*run),
+            _ => None,
+        })
+        .collect();
+    for run in refused {
+        world.end(run, &RunEnd::Refused);
+    }
+    assert!(servers_of(&world.after(500)).is_empty(), "s1 loads and s2 is full");
+    world.backends.upsert(backend("s1", 2));
+    assert_eq!(servers_of(&world.after(10)), ["s1", "s1"]);
+}
+
+/// Without a new version a refusal is short: the server was just full.
+#[test]
+fn a_server_that_refuses_without_a_load_is_asked_again_soon() {
+    let mut world = World::new(&[("s1", 2)]);
+    world.plan = plan(&["s1"]);
+    world.jobs.on_named(world.now, MODEL, 2);
+    world.open("j", spec(1, vec![sample("a", "g", 10)]));
+    let (run, ..) = run_of(&world.tick());
+    world.end(run, &RunEnd::Refused);
+    assert_eq!(servers_of(&world.after(150)), ["s1"]);
+}
+
+fn plan(servers: &[&str]) -> Plan {
+    let servers = servers.iter().map(|id| (*id).to_owned()).collect();
+    let entry = PlanEntry { model: MODEL.to_owned(), servers };
+    Plan::from_row(PlanRow { fence: 1, entries: vec![entry] })
+}
+
+fn servers_of(actions: &[JobAction]) -> Vec<String> {
+    let servers = actions.iter().filter_map(|action| match action {
+        JobAction::Run { server, .. } => Some(server.clone()),
+        _ => None,
+    });
+    servers.collect()
+}
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -124,6 +124,11 @@
         self.advance(Vec::new());
     }
 
+    /// Takes a version that was named for a model.
+    pub fn on_named(&mut self, _: CX![], model: &str, version: u64) {
+        self.jobs.on_named(clock::now(), model, version);
+    }
+
     /// Stops to run a job.
     pub fn close(&mut self, _: CX![], id: &str) {
         if !self.jobs.is_open(id) {
