--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -88,7 +88,7 @@
 }
 
 /// Two daemons' logs: a request that met a server which had left, while the store was lost.
-fn logs() -> [String; 2] {
+fn logs(test: &str) -> [String; 2] {
     let one = "time=2026-12-04T08:16:09.500Z level=warn event=store_lost call=feed silence_ms=1600\n\
         not a line of the log\n\
         time=2026-12-04T08:16:10.000Z level=info event=request_sent request=r1 server=s1 outcome=\"no answer in 350 ms\"\n\
@@ -98,12 +98,12 @@
     let two =
         "  10.1 front-b time=2026-12-04T08:16:10.050Z level=info event=store_lost call=feed\n\
         time=2026-12-04T08:16:10.200Z level=info event=request_answered request=r2 status=200\n";
-    [temporary("front-a.log", one), temporary("other.log", two)]
+    [temporary(&format!("{test}-front-a.log"), one), temporary(&format!("{test}-other.log"), two)]
 }
 
 #[test]
 fn explain_joins_the_logs_of_all_daemons_by_an_id() {
-    let [one, two] = logs();
+    let [one, two] = logs("explain");
     let output = run(&["explain", "r1", &one, &two]);
     assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
     insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
@@ -114,7 +114,7 @@
 
 #[test]
 fn incident_lists_what_changed_and_failures_by_cause() {
-    let [one, two] = logs();
+    let [one, two] = logs("incident");
     let output = run(&["incident", &one, &two, "--from", "2026-12-04T08:16:10Z"]);
     assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
     insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
