A relayed call whose reply cannot be read may have been made

Found by reading: a reply of the other daemon that cannot be decoded counted as "nothing was sent", so a transaction that was carried out could be taken for refused. Only a connection that could not be made proves that. No run has shown it; there is no test of it, as no daemon sends such a reply.

--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -297,9 +297,8 @@
             Ok(Ok(PeerMessage::StoreReply(reply))) if !reply.sent => {
                 Err(connect("the store refuses it too".to_owned()))
             }
-            Ok(Err(e @ (peers::Error::Connect { .. } | peers::Error::Codec { .. }))) => {
-                Err(connect(e.to_string()))
-            }
+            Ok(Err(e @ peers::Error::Connect { .. })) => Err(connect(e.to_string())),
+            // The call may have been made, also if its reply cannot be read.
             _ => Err(Error::TimedOut { addr: self.addr, limit }),
         };
         self.relay.borrow_mut().on_peer(clock::now(), peer, reply.is_ok());
