Metrics of the hosted daemon by route, call and outcome

Requests by route and status, runs, scores and calls of the store by outcome, time of a call, and gauges of what a daemon holds and believes; the gauges are computed when they are asked for.

--- a/crates/daemon/src/hosted/duty.rs
+++ b/crates/daemon/src/hosted/duty.rs
@@ -94,6 +94,7 @@
         let now = clock::now();
         let fence = self.lease.fence(now);
         if fence != self.term.map(|(fence, _)| fence) {
+            metrics::gauge!("weights_lease_held").set(if fence.is_some() { 1.0 } else { 0.0 });
             info!(fence:? = fence, last:? = self.term.map(|(fence, _)| fence); "duty_term");
             self.term = fence.map(|fence| (fence, now));
             self.weights.stop();
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -70,6 +70,12 @@
 
 /// All metrics.
 pub fn metrics(node: &Node) -> Response<AnswerBody> {
+    let now = clock::now();
+    metrics::gauge!("store_silence_seconds").set(node.store.silence().as_secs_f64());
+    metrics::gauge!("daemons_live").set(node.members.borrow().serving(now).count() as f64);
+    metrics::gauge!("servers_known").set(node.backends.borrow().all().count() as f64);
+    metrics::gauge!("jobs_known").set(node.jobs.borrow().len() as f64);
+    metrics::gauge!("requests_in_flight").set(node.inflight.get() as f64);
     node.metrics.run_upkeep();
     whole(Response::new(Bytes::from(node.metrics.render())))
 }
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -214,6 +214,8 @@
     metrics::histogram!("request_seconds", "route" => route.name.clone())
         .record(took.as_secs_f64());
     let status = reply.status().as_u16();
+    metrics::counter!("requests_total", "route" => route.name.clone(), "status" => status.to_string())
+        .increment(1);
     info!(request = id.as_str(), route = route.name.as_str(), status, tries = tried.len(), runs,
         took_ms = took.as_millis() as u64; "request_answered");
     reply
--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -149,7 +149,7 @@
         if let Some(conn) = self.take(addr) {
             return Ok(conn);
         }
-        metrics::counter!("connections_opened").increment(1);
+        metrics::counter!("connections_opened_total").increment(1);
         Connection::open(addr, limit).await
     }
 
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -201,6 +201,7 @@
             self.act(action);
         }
         metrics::gauge!("runs").set(self.jobs.running() as f64);
+        metrics::gauge!("jobs_run_here").set(self.jobs.ids().count() as f64);
     }
 
     fn act(&mut self, action: JobAction) {
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -24,6 +24,12 @@
 /// Asks a scorer once; `tries` requests went before.
 pub async fn ask(node: &Rc<Node>, scorer: &Scorer, tries: u32) -> ScoreEnd {
     let (end, server, detail) = exchange(node, scorer, tries).await;
+    let outcome = match end {
+        ScoreEnd::Scored(_) => "scored",
+        ScoreEnd::Failed { .. } => "failed",
+        ScoreEnd::NoAnswer => "no_answer",
+    };
+    metrics::counter!("scores_total", "outcome" => outcome).increment(1);
     info!(request = scorer.id.as_str(), server, outcome:? = end, detail; "scored");
     end
 }
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -254,8 +254,10 @@
     }
 
     async fn direct(&self, req: Request<Bytes>, limit: Duration) -> Result<Response<Bytes>, Error> {
-        metrics::counter!("store_calls").increment(1);
+        let started = clock::now();
         let reply = self.pool.call(self.addr, req, CONNECT_LIMIT.min(limit), limit).await;
+        let took = clock::now().saturating_sub(started);
+        metrics::histogram!("store_call_seconds").record(took.as_secs_f64());
         let refused = |status: StatusCode| {
             status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
         };
@@ -284,7 +286,7 @@
         asked: StoreCall,
         limit: Duration,
     ) -> Result<Response<Bytes>, Error> {
-        metrics::counter!("store_calls_relayed").increment(1);
+        metrics::counter!("store_calls_relayed_total").increment(1);
         let message = PeerMessage::StoreCall(asked);
         let exchange = self.peers.exchange(peer, &message);
         let end = tokio::time::timeout(limit + PEER_MARGIN, exchange).await;
@@ -315,6 +317,9 @@
 
     fn note(&self, good: bool, call: &str) {
         let now = clock::now();
+        let outcome = if good { "done" } else { "failed" };
+        metrics::counter!("store_calls_total", "call" => call.to_owned(), "outcome" => outcome)
+            .increment(1);
         if good {
             self.last_good.set(now);
             if self.lost.replace(false) {
@@ -322,7 +327,6 @@
             }
             return;
         }
-        metrics::counter!("store_failures", "call" => call.to_owned()).increment(1);
         self.steady_since.set(now);
         if self.is_lost() && !self.lost.replace(true) {
             let silence_ms = self.silence().as_millis() as u64;
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -249,6 +249,7 @@
 
     fn log(&mut self, outcome: &str, detail: &str) {
         self.logged = true;
+        metrics::counter!("runs_total", "outcome" => outcome.to_owned()).increment(1);
         let since = |at: Now| at.saturating_sub(self.started).as_millis() as u64;
         let (first_ms, took_ms) = (self.first.map(since), since(clock::now()));
         log::info!(job = self.job.as_str(), sample = self.sample.as_str(), run = self.run,
