A daemon that closes a broken connection early passes the test of bad input

Cause: the test sends 512 bytes that are no HTTP/2 to the peers' address and then ends its side. The daemon may have closed by then, and ending the side of a closed connection fails with "not connected". Other errors still fail, and the daemon must serve afterwards as before.

--- a/crates/daemon/tests/interface.rs
+++ b/crates/daemon/tests/interface.rs
@@ -4,8 +4,8 @@
 mod support;
 
 use std::{
-    io::{Read, Write},
-    net::TcpStream,
+    io::{ErrorKind, Read, Write},
+    net::{Shutdown, TcpStream},
     time::Duration,
 };
 
@@ -23,8 +23,11 @@
 
 fn raw(address: &str, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(address).expect("the daemon listens");
-    stream.write_all(bytes).expect("the daemon reads");
-    stream.shutdown(std::net::Shutdown::Write).expect("the connection stands");
+    let sent = stream.write_all(bytes).and_then(|()| stream.shutdown(Shutdown::Write));
+    if let Err(e) = sent {
+        let closed = [ErrorKind::NotConnected, ErrorKind::ConnectionReset, ErrorKind::BrokenPipe];
+        assert!(closed.contains(&e.kind()), "{e}");
+    }
     let mut answer = Vec::new();
     // A connection that the daemon closes early is an answer, too.
     let _ = stream.read_to_end(&mut answer);
