A choice of a server weighs each one once

The choice for a run computed the cost of two servers at each comparison, and since samples avoid servers that load, each cost counts servers of the plan. It is computed once for each server now, as in `Backends::choose`. The version that was named is looked up by the caller, and the runner borrows the plan that it copied at each event. No behaviour changes; the tests are the same.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -270,7 +270,10 @@
     ) {
         let Some(known) = self.runs.remove(&run) else { return };
         let job = self.jobs.get(&known.job);
-        let loads = |job: &Job| job.loads(now, &self.named, backends, &known.server);
+        let loads = |job: &Job| {
+            let named = self.named.get(&job.spec.model);
+            job.loads(now, named, backends, &known.server)
+        };
         let how = match server_end(end) {
             Ended::Refused if job.is_some_and(loads) => Ended::Loading,
             how => how,
--- a/crates/core/src/job/runs.rs
+++ b/crates/core/src/job/runs.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use buckthornfall_proto::ids::ServerId;
-use rustc_hash::FxHashMap;
 
 use super::{Job, JobAction, JobId, Jobs, Named, Run, RunEnd, State};
 use crate::{
@@ -38,7 +37,8 @@
         for id in slow {
             let run = &self.runs[&id];
             let Some(job) = self.jobs.get_mut(&run.job) else { continue };
-            if job.policy.single_version || !run.is_slower(now, job, &self.named, backends, plan) {
+            let named = self.named.get(&job.spec.model);
+            if job.policy.single_version || !run.is_slower(now, job, named, backends, plan) {
                 continue;
             }
             let run = self.runs.remove(&id).expect("looked up above");
@@ -86,7 +86,8 @@
         out: &mut Vec<JobAction>,
     ) -> bool {
         let Some(job) = self.jobs.get_mut(id) else { return false };
-        let Some(server) = choose(now, job, &self.named, backends, plan) else { return false };
+        let named = self.named.get(&job.spec.model);
+        let Some(server) = choose(now, job, named, backends, plan) else { return false };
         self.next_run += 1;
         let run = self.next_run;
         let sample = &mut job.samples[index];
@@ -136,7 +137,7 @@
         &self,
         now: Now,
         job: &Job,
-        named: &FxHashMap<String, Named>,
+        named: Option<&Named>,
         backends: &Backends,
         plan: &Plan,
     ) -> bool {
@@ -159,7 +160,7 @@
 fn choose(
     now: Now,
     job: &Job,
-    named: &FxHashMap<String, Named>,
+    named: Option<&Named>,
     backends: &Backends,
     plan: &Plan,
 ) -> Option<ServerId> {
@@ -195,7 +196,9 @@
     candidates
         .into_iter()
         .filter(free)
-        .min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| a.cmp(b)))
+        .map(|id| (cost(&id), id))
+        .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)))
+        .map(|(_, id)| id)
 }
 
 impl Job {
@@ -203,11 +206,11 @@
     pub(super) fn loads(
         &self,
         now: Now,
-        named: &FxHashMap<String, Named>,
+        named: Option<&Named>,
         backends: &Backends,
         server: &str,
     ) -> bool {
-        let Some(named) = named.get(&self.spec.model) else { return false };
+        let Some(named) = named else { return false };
         let held = backends.get(server).and_then(|entry| entry.version(&self.spec.model));
         now < named.since + LOADS_TAKE && held.is_some_and(|held| held < named.version)
     }
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -193,10 +193,10 @@
     }
 
     fn advance(&mut self, mut out: Vec<JobAction>) {
-        let plan = self.node.plan.borrow().clone();
+        let plan = self.node.plan.borrow();
         let mut backends = self.node.backends.borrow_mut();
         self.jobs.tick(clock::now(), &mut backends, &plan, &mut out);
-        drop(backends);
+        drop((plan, backends));
         for action in out {
             self.act(action);
         }
