One accept loop, one way to an actor, no copies to count jobs

`hosted::peers` had the accept loop of `hosted::server` once more; it calls `server::accept` now. `Node::runner` and `Node::duty` shared all but the actor. A heartbeat copied the rows of all owned jobs to see whether there is one. `Desired::service` was never called and goes. No behaviour changes.

--- a/crates/core/src/desired.rs
+++ b/crates/core/src/desired.rs
@@ -131,11 +131,6 @@
         let fitting = of_host.filter(|route| path.starts_with(&route.prefix));
         fitting.max_by_key(|route| route.prefix.len())
     }
-
-    /// The service named `name`.
-    pub fn service(&self, name: &str) -> Option<&Service> {
-        self.services.iter().find(|service| service.name == name)
-    }
 }
 
 /// The desired state in force, which only moves to higher versions.
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -45,6 +45,19 @@
     pub duty: Actor<Duty>,
 }
 
+impl Actors {
+    /// Runs `f` on an actor, later on the same thread.
+    fn defer<A: 'static>(
+        &self,
+        actor: &Actor<A>,
+        f: impl FnOnce(&mut A, &mut stakker::Cx<'_, A>) + 'static,
+    ) {
+        let actor = actor.clone();
+        self.deferrer.defer(move |s: &mut Stakker| actor.apply(s, f));
+        self.wake.notify_one();
+    }
+}
+
 /// One daemon.
 pub struct Node {
     pub settings: NodeSettings,
@@ -127,17 +140,13 @@
     /// Runs `f` on the actor of the jobs, later on the same thread.
     pub fn runner(&self, f: impl FnOnce(&mut Runner, &mut stakker::Cx<'_, Runner>) + 'static) {
         let Some(actors) = self.actors.get() else { return };
-        let actor = actors.runner.clone();
-        actors.deferrer.defer(move |s: &mut Stakker| actor.apply(s, f));
-        actors.wake.notify_one();
+        actors.defer(&actors.runner, f);
     }
 
     /// Runs `f` on the actor of the duty, later on the same thread.
     pub fn duty(&self, f: impl FnOnce(&mut Duty, &mut stakker::Cx<'_, Duty>) + 'static) {
         let Some(actors) = self.actors.get() else { return };
-        let actor = actors.duty.clone();
-        actors.deferrer.defer(move |s: &mut Stakker| actor.apply(s, f));
-        actors.wake.notify_one();
+        actors.defer(&actors.duty, f);
     }
 
     /// Counts a server that died while it ran a request, and tells the other daemons.
@@ -195,6 +204,11 @@
         ours.map(|(id, job)| (id.clone(), job.clone())).collect()
     }
 
+    /// Whether this daemon runs any job.
+    pub fn owns_jobs(&self) -> bool {
+        self.jobs.borrow().values().any(|job| self.owns(&job.row))
+    }
+
     /// Whether this daemon runs a job with this row.
     pub fn owns(&self, row: &JobRow) -> bool {
         row.state == JobState::Open && row.owner == self.settings.host
--- a/crates/daemon/src/hosted/peers.rs
+++ b/crates/daemon/src/hosted/peers.rs
@@ -3,10 +3,8 @@
 use std::{io, rc::Rc};
 
 use buckthornfall_proto::messages::PeerMessage;
-use log::warn;
-use tokio::{net::TcpListener, task::spawn_local, time::sleep};
 
-use super::{node::Node, server::ACCEPT_PAUSE};
+use super::{node::Node, server};
 use crate::peers::{self, Answer};
 
 #[derive(Clone)]
@@ -21,18 +19,6 @@
 
 /// Listens for other daemons.
 pub async fn listen(node: &Rc<Node>) -> io::Result<()> {
-    let listener = TcpListener::bind(node.settings.peers).await?;
     let calls = Calls(Rc::clone(node));
-    spawn_local(async move {
-        loop {
-            match listener.accept().await {
-                Ok((socket, _)) => drop(spawn_local(peers::serve(socket, calls.clone()))),
-                Err(e) => {
-                    warn!(address:% = calls.0.settings.peers, error:% = e; "accept_failed");
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
-    });
-    Ok(())
+    server::accept(node.settings.peers, move |socket| peers::serve(socket, calls.clone())).await
 }
--- a/crates/daemon/src/hosted/server.rs
+++ b/crates/daemon/src/hosted/server.rs
@@ -1,6 +1,8 @@
 //! Listeners and their connections.
 
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+};
 
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -17,7 +19,7 @@
 /// Time between two looks at whether a connection is idle.
 const IDLE_CHECK: Duration = Duration::from_secs(1);
 /// Pause after a connection that could not be accepted, as when no descriptor is left.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What a listener serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,13 +32,24 @@
 
 /// Listens on `addr` and serves each connection.
 pub async fn listen(node: &Rc<Node>, addr: SocketAddr, surface: Surface) -> std::io::Result<()> {
-    let listener = TcpListener::bind(addr).await?;
     let node = Rc::clone(node);
+    accept(addr, move |stream| serve(Rc::clone(&node), stream, surface)).await
+}
+
+/// Listens on `addr` and carries out `serve` for each connection.
+pub async fn accept<F>(
+    addr: SocketAddr,
+    serve: impl Fn(TcpStream) -> F + 'static,
+) -> std::io::Result<()>
+where
+    F: Future<Output = ()> + 'static,
+{
+    let listener = TcpListener::bind(addr).await?;
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::task::spawn_local(serve(Rc::clone(&node), stream, surface));
+                    tokio::task::spawn_local(serve(stream));
                 }
                 Err(e) => {
                     warn!(address:% = addr, error:% = e; "accept_failed");
