--- a/crates/cli/src/log_lines.rs
+++ b/crates/cli/src/log_lines.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, path::Path};
 
+use buckthornfall_daemon::logging::Pair;
 use clap::ArgMatches;
 use jiff::Timestamp;
 use snafu::ResultExt;
@@ -43,14 +44,8 @@
 
     /// The fields as `key=value`.
     pub fn describe(&self) -> String {
-        let field = |field: &Field| {
-            if field.value.is_empty() || field.value.contains([' ', '"', '=']) {
-                format!("{}={:?}", field.key, field.value)
-            } else {
-                format!("{}={}", field.key, field.value)
-            }
-        };
-        self.fields.iter().map(field).collect::<Vec<_>>().join(" ")
+        let pair = |field: &Field| Pair { key: &field.key, value: &field.value }.to_string();
+        self.fields.iter().map(pair).collect::<Vec<_>>().join(" ")
     }
 }
 
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -54,6 +54,17 @@
         out
     }
 
+    /// Opens a job of two samples; their runs, of which each has made an event.
+    fn run_two_samples(&mut self) -> Vec<RunId> {
+        self.open("job", spec(1, vec![sample("a", "g", 10), sample("b", "g", 9)]));
+        let runs = runs_at(&self.tick(), None);
+        for run in &runs {
+            assert!(self.jobs.on_head(*run, 1));
+            assert!(self.event(*run, 1, None));
+        }
+        runs
+    }
+
     fn after(&mut self, millis: u64) -> Vec<JobAction> {
         self.now += Duration::from_millis(millis);
         self.tick()
@@ -108,6 +119,15 @@
     JobSpec { model: MODEL.to_owned(), min_version, target_groups: 1, samples }
 }
 
+/// The runs that started, at one server or at any.
+fn runs_at(actions: &[JobAction], at: Option<&str>) -> Vec<RunId> {
+    let runs = actions.iter().filter_map(|action| match action {
+        JobAction::Run { run, server, .. } if at.is_none_or(|at| at == server) => Some(*run),
+        _ => None,
+    });
+    runs.collect()
+}
+
 fn run_of(actions: &[JobAction]) -> (RunId, String, Option<u64>) {
     let run = actions.iter().find_map(|action| match action {
         JobAction::Run { run, server, after, .. } => Some((*run, server.clone(), *after)),
@@ -280,19 +300,7 @@
 #[test]
 fn an_append_of_unknown_outcome_is_sent_again_unchanged() {
     let mut world = World::new(&[("s1", 1)]);
-    world.open("job", spec(1, vec![sample("a", "g", 10), sample("b", "g", 9)]));
-    let runs: Vec<_> = world
-        .tick()
-        .into_iter()
-        .filter_map(|action| match action {
-            JobAction::Run { run, .. } => Some(run),
-            _ => None,
-        })
-        .collect();
-    for run in &runs {
-        assert!(world.jobs.on_head(*run, 1));
-        assert!(world.event(*run, 1, None));
-    }
+    let runs = world.run_two_samples();
     world.end(runs[0], &RunEnd::Complete);
     let first = appended(&world.tick());
     let mut out = Vec::new();
@@ -307,19 +315,7 @@
 #[test]
 fn what_another_owner_listed_is_not_listed_again() {
     let mut world = World::new(&[("s1", 1)]);
-    world.open("job", spec(1, vec![sample("a", "g", 10), sample("b", "g", 9)]));
-    let runs: Vec<_> = world
-        .tick()
-        .into_iter()
-        .filter_map(|action| match action {
-            JobAction::Run { run, .. } => Some(run),
-            _ => None,
-        })
-        .collect();
-    for run in &runs {
-        assert!(world.jobs.on_head(*run, 1));
-        assert!(world.event(*run, 1, None));
-    }
+    let runs = world.run_two_samples();
     world.end(runs[0], &RunEnd::Complete);
     let actions = world.tick();
     let JobAction::Append { batch, .. } = &actions[0] else { panic!("{actions:?}") };
@@ -457,14 +453,7 @@
     // s1 loads first, so the first samples, the longest, go to the other one.
     let servers = servers_of(&started);
     assert_eq!(servers, ["s2", "s2", "s1", "s1"]);
-    let refused: Vec<_> = started
-        .iter()
-        .filter_map(|action| match action {
-            JobAction::Run { run, server, .. } if server == "s1" => Some(*run),
-            _ => None,
-        })
-        .collect();
-    for run in refused {
+    for run in runs_at(&started, Some("s1")) {
         world.end(run, &RunEnd::Refused);
     }
     assert!(servers_of(&world.after(500)).is_empty(), "s1 loads and s2 is full");
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -53,6 +53,15 @@
     OrderReport { busy: false, accepted, models: models().into_iter().map(held).collect() }
 }
 
+/// Orders a server to load a named version, which ends like this; the server.
+fn order(weights: &mut Weights, servers: &Backends, end: OrderEnd) -> String {
+    weights.on_named("a", 2);
+    let server = asked(&tick(weights, NOW, servers)).remove(0);
+    weights.on_report(NOW, Some(7), &server, Some(&report(1, 0)), &mut Vec::new());
+    weights.on_order(NOW, 7, &server, end);
+    server
+}
+
 fn shares(weights: &Weights) -> BTreeMap<String, usize> {
     let share = |model: String| (model.clone(), weights.plan().servers(&model).len());
     models().into_iter().map(share).collect()
@@ -125,11 +134,7 @@
 fn a_server_of_an_unknown_answer_is_asked_again_before_the_next_order() {
     let mut weights = Weights::default();
     let servers = backends(9);
-    weights.on_named("a", 2);
-    let server = asked(&tick(&mut weights, NOW, &servers)).remove(0);
-    let mut out = Vec::new();
-    weights.on_report(NOW, Some(7), &server, Some(&report(1, 0)), &mut out);
-    weights.on_order(NOW, 7, &server, OrderEnd::Unknown);
+    let server = order(&mut weights, &servers, OrderEnd::Unknown);
     let later = NOW + Duration::from_millis(450);
     let again = asked(&tick(&mut weights, later, &servers));
     assert!(again.contains(&server), "{again:?}");
@@ -139,11 +144,7 @@
 fn a_fenced_term_orders_nothing_more() {
     let mut weights = Weights::default();
     let servers = backends(9);
-    weights.on_named("a", 2);
-    let server = asked(&tick(&mut weights, NOW, &servers)).remove(0);
-    let mut out = Vec::new();
-    weights.on_report(NOW, Some(7), &server, Some(&report(1, 0)), &mut out);
-    weights.on_order(NOW, 7, &server, OrderEnd::Fenced);
+    order(&mut weights, &servers, OrderEnd::Fenced);
     assert!(!weights.may_order(7));
     weights.on_named("b", 2);
     assert_eq!(tick(&mut weights, NOW + Duration::from_secs(5), &servers), []);
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,6 +1,7 @@
 //! Logs: one line of key=value pairs for each event.
 
 use std::{
+    fmt,
     io::{self, Write},
     sync::{
         atomic::{AtomicU64, Ordering},
@@ -19,16 +20,31 @@
 
 use crate::log_budget::{LeftOut, LogBudget};
 
+/// A pair as it stands in a line: the value is quoted where it would not end at the next space.
+#[derive(Debug, Clone, Copy)]
+pub struct Pair<'a> {
+    /// Name of the value.
+    pub key: &'a str,
+    /// The value.
+    pub value: &'a str,
+}
+
+impl fmt::Display for Pair<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Pair { key, value } = self;
+        if value.is_empty() || value.contains([' ', '"', '=']) {
+            write!(f, "{key}={value:?}")
+        } else {
+            write!(f, "{key}={value}")
+        }
+    }
+}
+
 struct Pairs<'a, W>(&'a mut W);
 
 impl<'kvs, W: Write> VisitSource<'kvs> for Pairs<'_, W> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let text = value.to_string();
-        if text.is_empty() || text.contains([' ', '"', '=']) {
-            write!(self.0, " {key}={text:?}")?;
-        } else {
-            write!(self.0, " {key}={text}")?;
-        }
+        write!(self.0, " {}", Pair { key: key.as_str(), value: &value.to_string() })?;
         Ok(())
     }
 }
