A table that is read again no longer counts as another one

Cause: `Node::tables_read` counted reads. A table whose history was lost and that was read three times at the start opened the daemon before it had read the others, so it could serve with no known server, or answer 404 for a job that stands in the store. Change: `core::readiness` keeps which tables were read. Test: views, "a_table_that_is_read_again_does_not_stand_for_another_one" (core had no such state before).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod publish;
 pub mod quarantine;
 pub mod relay;
+pub mod readiness;
 pub mod retention;
 pub mod rollout;
 pub mod step;
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -2,7 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use buckthornfall_core::store::{FeedEnd, RowKey, RowPage, RowVersion, StoredRow};
+use buckthornfall_core::{
+    readiness::Table,
+    store::{FeedEnd, RowKey, RowPage, RowVersion, StoredRow},
+};
 use buckthornfall_platform::{deployment, servers, store as wire};
 use buckthornfall_proto::{
     ids::ServerId,
@@ -21,34 +24,23 @@
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// A table that is followed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Table {
-    Operator,
-    Servers,
-    Fleet,
-}
-
-impl Table {
-    fn name(self) -> &'static str {
-        match self {
-            Table::Operator => wire::OPERATOR_TABLE,
-            Table::Servers => wire::SERVER_TABLE,
-            Table::Fleet => rows::FLEET,
-        }
+fn name(table: Table) -> &'static str {
+    match table {
+        Table::Operator => wire::OPERATOR_TABLE,
+        Table::Servers => wire::SERVER_TABLE,
+        Table::Fleet => rows::FLEET,
     }
 
-    fn pace(self) -> Duration {
-        match self {
-            Table::Operator | Table::Fleet => FEED_PACE,
-            Table::Servers => SERVER_PACE,
-        }
+fn pace(table: Table) -> Duration {
+    match table {
+        Table::Operator | Table::Fleet => FEED_PACE,
+        Table::Servers => SERVER_PACE,
     }
 }
 
 /// Starts to follow all tables.
 pub fn start(node: &Rc<Node>) {
-    for table in [Table::Operator, Table::Servers, Table::Fleet] {
+    for table in Table::ALL {
         tokio::task::spawn_local(follow(Rc::clone(node), table));
     }
 }
@@ -63,15 +55,15 @@
             }
             continue;
         };
-        match node.store.feed(table.name(), version).await {
+        match node.store.feed(name(table), version).await {
             FeedEnd::Changes(page) => {
                 after = Some(page.version.max(version));
                 node.members.borrow_mut().on_contact(clock::now());
                 page.rows.iter().for_each(|row| on_row(&node, table, row));
-                sleep(table.pace()).await;
+                sleep(pace(table)).await;
             }
             FeedEnd::HistoryLost => {
-                info!(table = table.name(), after = version; "feed_history_lost");
+                info!(table = name(table), after = version; "feed_history_lost");
                 after = None;
             }
             FeedEnd::Failed => sleep(RETRY_PAUSE).await,
@@ -80,7 +72,7 @@
 }
 
 async fn read_whole(node: &Rc<Node>, table: Table) -> Option<RowVersion> {
-    let page = node.store.rows(&RowKey::new(table.name(), "", ""), None).await?;
+    let page = node.store.rows(&RowKey::new(name(table), "", ""), None).await?;
     node.members.borrow_mut().on_contact(clock::now());
     page.rows.iter().for_each(|row| on_row(node, table, row));
     if table == Table::Servers {
@@ -91,8 +83,8 @@
     if table == Table::Fleet {
         forget_removed(node, &page);
     }
-    node.tables_read.set(node.tables_read.get().saturating_add(1));
-    info!(table = table.name(), rows = page.rows.len(), version = page.version; "table_read");
+    node.readiness.borrow_mut().on_read(table);
+    info!(table = name(table), rows = page.rows.len(), version = page.version; "table_read");
     Some(page.version)
 }
 
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -11,7 +11,8 @@
     desired::{Desired, InForce},
     job::JobId,
     members::Members,
-    store::{RowKey, RowVersion, StoreTx},
+    readiness::Readiness,
+    store::{RowKey, RowVersion, StoreTx, TxEnd},
     suspects::Suspects,
     weights::Plan,
 };
@@ -80,16 +81,15 @@
     pub inflight: Cell<usize>,
     /// Requests of callers since the last heartbeat.
     pub requests: Cell<u32>,
-    /// Whether each table has been read whole.
-    pub tables_read: Cell<u8>,
+    pub readiness: RefCell<Readiness>,
     pub stop: Notify,
     /// Told when this daemon gets a job.
     pub job_taken: Notify,
     pub actors: OnceCell<Actors>,
 }
 
-/// Tables that must be read before a daemon serves.
-pub const TABLES: u8 = 3;
+/// Pause between two tries to tell the others that a server leaves.
+const SHARE_PAUSE: Duration = Duration::from_secs(2);
 
 impl Node {
     pub fn new(settings: NodeSettings, metrics: PrometheusHandle) -> Rc<Node> {
@@ -109,7 +109,7 @@
             state: Cell::new(MemberState::Starting),
             inflight: Cell::new(0),
             requests: Cell::new(0),
-            tables_read: Cell::new(0),
+            readiness: RefCell::default(),
             stop: Notify::new(),
             job_taken: Notify::new(),
             actors: OnceCell::new(),
@@ -129,7 +129,7 @@
 
     /// Serves from when all tables were read and a desired state is known.
     pub fn serve_if_ready(&self) -> bool {
-        let known = self.tables_read.get() >= TABLES && self.desired.borrow().get().is_some();
+        let known = self.readiness.borrow().is_complete() && self.desired.borrow().get().is_some();
         let starts = known && self.state.get() == MemberState::Starting;
         if starts {
             self.state.set(MemberState::Serving);
