A job whose first write may have been done is not called refused

Cause: a write of unknown outcome was tried again, and the refusal of the second try was passed on as 503 "not run", although the first may have taken effect or still may: the job then ran. Ruled out: the write of the text, without whose row nothing runs. Change: after an unknown outcome a refusal stays unknown, 504. Test: platform/tests/hosted.rs, "a_job_that_may_have_been_written_is_not_called_refused": 503 before, 504 after.

--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -106,6 +106,7 @@
     };
     let key = Node::job_key(id);
     let tx = StoreTx::replace(key.clone(), 0, rows::encode(&row));
+    let mut refusal = StoreFailure::Refused;
     for _ in 0..WRITE_TRIES {
         match node.store.transact(&tx).await {
             TxEnd::Committed(version) => return Ok((row, version)),
@@ -114,9 +115,10 @@
                 let known = found.and_then(|found| Some((rows::decode(&found)?, found.version)));
                 return known.ok_or(StoreFailure::Unknown);
             }
-            TxEnd::Failed(StoreFailure::Refused) => return Err(StoreFailure::Refused),
+            // A write before this one may still take effect.
+            TxEnd::Failed(StoreFailure::Refused) => return Err(refusal),
             // The same write again settles it: it commits, or the conflict shows the row.
-            TxEnd::Failed(StoreFailure::Unknown) => {}
+            TxEnd::Failed(StoreFailure::Unknown) => refusal = StoreFailure::Unknown,
         }
     }
     Err(StoreFailure::Unknown)
