A changed settings file comes into force without a restart

Cause: a change was read on SIGHUP only, and just reported. Change: `hosted::reload` reads the file on SIGHUP and each 2 s; seeds, the store's address and bounds come into force at once, what a running daemon cannot change (host, zone, regions, listeners) is named in the log and waits for the next start. A file that cannot be read changes nothing and is reported once.

--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -15,6 +15,7 @@
 mod node;
 mod owners;
 mod peers;
+mod reload;
 mod rows;
 mod runner;
 mod score;
@@ -31,7 +32,7 @@
 
 use buckthornfall_platform::settings::{self, NodeSettings};
 use buckthornfall_proto::messages::MemberState;
-use log::{info, warn};
+use log::info;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 use snafu::{ResultExt, Snafu};
 use stakker::{actor, ret_nop, Stakker};
@@ -122,10 +123,10 @@
 
 async fn serve(settings: NodeSettings, metrics: PrometheusHandle) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
-    let mut reload = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
+    let changed = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
     let node = Node::new(settings, metrics);
     start_actors(&node);
-    let own = &node.settings;
+    let own = node.settings();
     let listeners = [
         (own.front, Surface::Requests),
         (own.ready, Surface::Requests),
@@ -143,27 +144,12 @@
     tokio::task::spawn_local(owners::watch(Rc::clone(&node)));
     tokio::task::spawn_local(cleanup::run(Rc::clone(&node)));
     info!(host = own.host.as_str(), zone = own.zone.as_str(), front:% = own.front, store:% = own.store; "started");
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => check_settings(&node),
-        }
-    }
+    tokio::task::spawn_local(reload::watch(Rc::clone(&node), changed));
+    terminate.recv().await;
     stop(&node).await;
     Ok(())
 }
 
-/// What a daemon reads at its start stays until its next start; a change is only reported.
-fn check_settings(node: &Node) {
-    match settings::load() {
-        Ok(settings) => {
-            let changed = settings != node.settings;
-            info!(changed; "settings_reloaded");
-        }
-        Err(e) => warn!(error:% = e; "settings_unreadable"),
-    }
-}
-
 fn start_actors(node: &Rc<Node>) {
     let mut stakker = Stakker::new(Instant::now());
     let s = &mut stakker;
@@ -199,7 +185,7 @@
     node.stop.notify_waiters();
     node.duty(|duty, cx| duty.release(cx));
     give_up_jobs(node).await;
-    let grace = node.settings.grace;
+    let grace = node.settings().grace;
     loop {
         sleep(STOP_CHECK).await;
         let passed = clock::now().saturating_sub(started);
--- a/crates/daemon/src/hosted/cleanup.rs
+++ b/crates/daemon/src/hosted/cleanup.rs
@@ -40,10 +40,11 @@
 fn over(node: &Node) -> Vec<(JobId, KnownJob)> {
     let (now, clock_ms) = (clock::now(), node.store.clock_ms());
     let members = node.members.borrow();
-    let is_ours = |id: &str| members.owner(now, id).is_some_and(|host| *host == node.settings.host);
+    let is_ours =
+        |id: &str| members.owner(now, id).is_some_and(|host| *host == node.settings().host);
     let jobs = node.jobs.borrow();
     let over = jobs.iter().filter(|(id, job)| {
-        retention::is_over(&job.row, clock_ms, node.settings.results_kept) && is_ours(id)
+        retention::is_over(&job.row, clock_ms, node.settings().results_kept) && is_ours(id)
     });
     over.map(|(id, job)| (id.clone(), job.clone())).collect()
 }
--- a/crates/daemon/src/hosted/duty.rs
+++ b/crates/daemon/src/hosted/duty.rs
@@ -51,7 +51,7 @@
 impl Duty {
     pub fn init(cx: CX![], node: Rc<Node>) -> Option<Duty> {
         // A new start of a process is another holder.
-        let holder = format!("{}/{:x}", node.settings.host, rand::random::<u64>());
+        let holder = format!("{}/{:x}", node.settings().host, rand::random::<u64>());
         let lease = Lease::new(ROLE, &holder, LEASE_TIMES);
         after!(TICK, [cx], tick());
         Some(Duty { node, lease, weights: Weights::default(), term: None })
@@ -102,7 +102,7 @@
         let (fence, since) = self.term?;
         // The last holder may have sent an order just before this term began; servers that check
         // fencing numbers refuse what comes after an order of this term.
-        let settings = &self.node.settings;
+        let settings = self.node.settings();
         let wait = if settings.servers_check_fences { Duration::ZERO } else { settings.lease };
         let waited = fence == 1 || now.saturating_sub(since) >= wait;
         (waited && self.weights.may_order(fence)).then_some(fence)
@@ -201,8 +201,8 @@
     report
 }
 
-async fn send_order(node: &Node, server: &Backend, order: &Order) -> OrderEnd {
-    let req = servers::order(server, &node.settings.host, order);
+async fn send_order(node: &Rc<Node>, server: &Backend, order: &Order) -> OrderEnd {
+    let req = servers::order(server, &node.settings().host, order);
     let reply = node.servers.call(server.addr, req, CONNECT_LIMIT, ANSWER_LIMIT).await;
     let end = servers::order_end(reply.as_ref().ok());
     info!(server = server.id.as_str(), model = order.model.as_str(), version = order.version,
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -109,8 +109,8 @@
 }
 
 fn entries(node: &Node, zone: &str) -> Response<Bytes> {
-    let location = node.settings.location_of(zone);
-    let own = node.settings.front.to_string();
+    let location = node.settings().location_of(zone);
+    let own = node.settings().front.to_string();
     let mut addresses = node.members.borrow().entries(clock::now(), &location, MAX_ENTRIES);
     let reachable = !node.store.is_lost();
     if addresses.len() > 1 && (node.is_leaving() || !reachable) {
@@ -122,7 +122,7 @@
         }
         addresses.push(own);
     }
-    interface::entries(&addresses, ENTRY_TTL.min(node.settings.entry_ttl_max))
+    interface::entries(&addresses, ENTRY_TTL.min(node.settings().entry_ttl_max))
 }
 
 async fn route(node: &Rc<Node>, head: &request::Parts, body: Bytes) -> Response<AnswerBody> {
--- a/crates/daemon/src/hosted/heartbeat.rs
+++ b/crates/daemon/src/hosted/heartbeat.rs
@@ -24,7 +24,7 @@
 
 /// Writes this daemon's row again and again.
 async fn beat(node: Rc<Node>) {
-    let key = RowKey::new(rows::FLEET, "", &format!("{}{}", rows::MEMBER, node.settings.host));
+    let key = RowKey::new(rows::FLEET, "", &format!("{}{}", rows::MEMBER, node.settings().host));
     let mut incarnation = None;
     let mut beat = 0;
     let mut last_beat = clock::now();
@@ -35,7 +35,7 @@
             incarnation = next_incarnation(&node, &key).await;
         }
         if node.serve_if_ready() {
-            info!(host = node.settings.host.as_str(); "serving");
+            info!(host = node.settings().host.as_str(); "serving");
         }
         if let Some(incarnation) = incarnation {
             beat += 1;
@@ -44,9 +44,9 @@
             let rate = f64::from(node.requests.take()) / since;
             let expected = beat_interval(&node) + took;
             let row = MemberRow {
-                front: node.settings.front.to_string(),
-                peers: node.settings.peers.to_string(),
-                zone: node.settings.zone.clone(),
+                front: node.settings().front.to_string(),
+                peers: node.settings().peers.to_string(),
+                zone: node.settings().zone.clone(),
                 state: node.state.get(),
                 incarnation,
                 beat,
@@ -90,7 +90,7 @@
     loop {
         let mut relays = node.members.borrow().relays(clock::now(), &node.location);
         if relays.is_empty() {
-            relays = node.settings.seeds.iter().map(ToString::to_string).collect();
+            relays = node.settings().seeds.iter().map(ToString::to_string).collect();
         }
         node.store.set_relays(relays);
         if node.store.is_relaying() {
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -16,7 +16,7 @@
     suspects::Suspects,
     weights::Plan,
 };
-use buckthornfall_platform::settings::NodeSettings;
+use buckthornfall_platform::{headers, settings::NodeSettings};
 use buckthornfall_proto::{
     ids::Fingerprint,
     messages::{JobRow, JobState, MemberState, SuspectRow},
@@ -61,7 +61,7 @@
 
 /// One daemon.
 pub struct Node {
-    pub settings: NodeSettings,
+    settings: RefCell<Rc<NodeSettings>>,
     pub location: Location,
     pub store: Store,
     /// Connections to servers.
@@ -113,7 +113,7 @@
             stop: Notify::new(),
             job_taken: Notify::new(),
             actors: OnceCell::new(),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         })
     }
 
@@ -123,6 +123,16 @@
     }
 
     /// Whether a planned stop has begun.
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<NodeSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Puts settings in force.
+    pub fn set_settings(&self, settings: NodeSettings) {
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     pub fn is_leaving(&self) -> bool {
         self.state.get() == MemberState::Leaving
     }
@@ -211,7 +221,7 @@
 
     /// Whether this daemon runs a job with this row.
     pub fn owns(&self, row: &JobRow) -> bool {
-        row.state == JobState::Open && row.owner == self.settings.host
+        row.state == JobState::Open && row.owner == self.settings.borrow().host
     }
 
     /// Reads a job's text and log, and runs it.
--- a/crates/daemon/src/hosted/owners.rs
+++ b/crates/daemon/src/hosted/owners.rs
@@ -29,7 +29,7 @@
         node.servers.sweep();
         node.backends.borrow_mut().expire(node.store.steady_since(), clock::now());
         for (id, row, version) in orphans(&node) {
-            let owner = node.settings.host.clone();
+            let owner = node.settings().host.clone();
             take_over(&node, &id, row, version, owner).await;
         }
     }
@@ -41,9 +41,9 @@
     let jobs = node.jobs.borrow();
     let orphan = |row: &JobRow| {
         row.state == JobState::Open
-            && row.owner != node.settings.host
+            && row.owner != node.settings().host
             && !members.live(now, &row.owner)
-            && members.owner(now, &row.model).is_some_and(|owner| *owner == node.settings.host)
+            && members.owner(now, &row.model).is_some_and(|owner| *owner == node.settings().host)
     };
     let found = jobs.iter().filter(|(_, job)| orphan(&job.row));
     found.map(|(id, job)| (id.clone(), job.row.clone(), job.version)).collect()
@@ -65,7 +65,7 @@
 pub async fn hand_over(node: &Rc<Node>) {
     for (id, KnownJob { row, version }) in node.owned_jobs() {
         let next = node.members.borrow().owner(clock::now(), &row.model).cloned();
-        if let Some(next) = next.filter(|next| *next != node.settings.host) {
+        if let Some(next) = next.filter(|next| *next != node.settings().host) {
             take_over(node, &id, row, version, next).await;
         }
     }
--- a/crates/daemon/src/hosted/peers.rs
+++ b/crates/daemon/src/hosted/peers.rs
@@ -20,5 +20,5 @@
 /// Listens for other daemons.
 pub async fn listen(node: &Rc<Node>) -> io::Result<()> {
     let calls = Calls(Rc::clone(node));
-    server::accept(node.settings.peers, move |socket| peers::serve(socket, calls.clone())).await
+    server::accept(node.settings().peers, move |socket| peers::serve(socket, calls.clone())).await
 }
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -279,7 +279,7 @@
 
 async fn append(node: Rc<Node>, job: JobId, batch: Batch) {
     let mut tx = StoreTx::default();
-    let row_bytes = node.settings.row_bytes;
+    let row_bytes = node.settings().row_bytes;
     for (offset, result) in batch.results.iter().enumerate() {
         let position = batch.first + offset;
         tx.expected.push((rows::result_key(&job, position, 0), 0));
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -41,7 +41,7 @@
 /// The store as this daemon sees it.
 #[derive(Debug)]
 pub struct Store {
-    addr: SocketAddr,
+    addr: Cell<SocketAddr>,
     pool: Pool,
     last_good: Cell<Now>,
     /// Start of the time in which all calls went well.
@@ -60,7 +60,7 @@
     /// The store at `addr`.
     pub fn new(addr: SocketAddr) -> Store {
         Store {
-            addr,
+            addr: Cell::new(addr),
             pool: Pool::default(),
             last_good: Cell::new(Now::ZERO),
             steady_since: Cell::new(Now::ZERO),
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Makes further calls at `addr`.
+    pub fn set_address(&self, addr: SocketAddr) {
+        self.addr.set(addr);
+    }
+
     /// Whether no good reply came for a while.
     pub fn is_lost(&self) -> bool {
         clock::now().saturating_sub(self.last_good.get()) > LOST_AFTER
@@ -109,7 +114,7 @@
 
     /// Runs a transaction.
     pub async fn transact(&self, tx: &StoreTx) -> TxEnd {
-        let reply = self.call(wire::transaction(self.addr, tx), REPLY_LIMIT).await;
+        let reply = self.call(wire::transaction(self.addr.get(), tx), REPLY_LIMIT).await;
         let end = match &reply {
             Ok(reply) => wire::transaction_end(Some(reply)),
             Err(Error::Connect { .. }) => TxEnd::Failed(StoreFailure::Refused),
@@ -134,7 +139,7 @@
 
     /// The first page of rows.
     pub async fn page(&self, from: &RowKey, until: Option<&str>) -> Option<RowPage> {
-        let reply = self.call(wire::rows(self.addr, from, until), REPLY_LIMIT).await;
+        let reply = self.call(wire::rows(self.addr.get(), from, until), REPLY_LIMIT).await;
         let page = reply.ok().and_then(|reply| match wire::rows_end(&reply) {
             Ok(page) => page,
             Err(e) => {
@@ -159,7 +164,7 @@
     /// Waits for changes of a table.
     pub async fn feed(&self, table: &str, after: RowVersion) -> FeedEnd {
         let wait = u64::try_from(FEED_WAIT.as_millis()).expect("a second");
-        let req = wire::feed(self.addr, table, after, wait);
+        let req = wire::feed(self.addr.get(), table, after, wait);
         let reply = self.call(req, FEED_WAIT + REPLY_LIMIT).await;
         let end = reply.map_or(FeedEnd::Failed, |reply| wire::feed_end(&reply));
         self.note(!matches!(end, FeedEnd::Failed), "feed");
@@ -171,7 +176,7 @@
 
     /// Writes an object once; `None` if the outcome is not known.
     pub async fn put_object(&self, name: &str, content: Bytes) -> Option<bool> {
-        let reply = self.call(wire::put_object(self.addr, name, content), OBJECT_LIMIT).await;
+        let reply = self.call(wire::put_object(self.addr.get(), name, content), OBJECT_LIMIT).await;
         match reply {
             Ok(reply) => wire::put_object_end(&reply),
             Err(Error::Connect { .. }) => Some(false),
@@ -181,14 +186,14 @@
 
     /// Removes an object; one that stays is garbage and harms nothing.
     pub async fn drop_object(&self, name: &str) {
-        if let Err(e) = self.call(wire::drop_object(self.addr, name), OBJECT_LIMIT).await {
+        if let Err(e) = self.call(wire::drop_object(self.addr.get(), name), OBJECT_LIMIT).await {
             warn!(object = name, error:% = e; "object_left");
         }
     }
 
     /// Reads an object.
     pub async fn get_object(&self, name: &str) -> Option<Bytes> {
-        let reply = self.call(wire::get_object(self.addr, name), OBJECT_LIMIT).await.ok()?;
+        let reply = self.call(wire::get_object(self.addr.get(), name), OBJECT_LIMIT).await.ok()?;
         reply.status().is_success().then(|| reply.into_body())
     }
 
@@ -208,7 +213,7 @@
             return;
         }
         let key = RowKey::new(wire::OPERATOR_TABLE, "", "");
-        let reply = self.direct(wire::rows(self.addr, &key, Some("\0")), PROBE_LIMIT).await;
+        let reply = self.direct(wire::rows(self.addr.get(), &key, Some("\0")), PROBE_LIMIT).await;
         self.probing.set(false);
         drop(reply);
     }
@@ -220,7 +225,7 @@
         if self.is_relaying() {
             return not_sent;
         }
-        let req = match wire::from_peer(self.addr, asked) {
+        let req = match wire::from_peer(self.addr.get(), asked) {
             Ok(req) => req,
             Err(e) => {
                 warn!(error:% = e; "relayed_call_unreadable");
@@ -250,12 +255,12 @@
                 end => return end,
             }
         }
-        Err(Error::Connect { addr: self.addr, reason: "no daemon makes the call".to_owned() })
+        Err(Error::Connect { addr: self.addr.get(), reason: "no daemon makes the call".to_owned() })
     }
 
     async fn direct(&self, req: Request<Bytes>, limit: Duration) -> Result<Response<Bytes>, Error> {
         let started = clock::now();
-        let reply = self.pool.call(self.addr, req, CONNECT_LIMIT.min(limit), limit).await;
+        let reply = self.pool.call(self.addr.get(), req, CONNECT_LIMIT.min(limit), limit).await;
         let took = clock::now().saturating_sub(started);
         metrics::histogram!("store_call_seconds").record(took.as_secs_f64());
         let refused = |status: StatusCode| {
@@ -291,7 +296,7 @@
         let exchange = self.peers.exchange(peer, &message);
         let end = tokio::time::timeout(limit + PEER_MARGIN, exchange).await;
         let connect = |reason: String| Error::Connect {
-            addr: self.addr,
+            addr: self.addr.get(),
             reason: format!("{peer}: {reason}"),
         };
         let reply = match end {
@@ -301,7 +306,7 @@
             }
             Ok(Err(e @ peers::Error::Connect { .. })) => Err(connect(e.to_string())),
             // The call may have been made, also if its reply cannot be read.
-            _ => Err(Error::TimedOut { addr: self.addr, limit }),
+            _ => Err(Error::TimedOut { addr: self.addr.get(), limit }),
         };
         self.relay.borrow_mut().on_peer(clock::now(), peer, reply.is_ok());
         if let Err(e) = &reply {
--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -93,7 +93,7 @@
     let owner = node.members.borrow().owner(clock::now(), &spec.model).cloned();
     let row = JobRow {
         state: JobState::Open,
-        owner: owner.unwrap_or_else(|| node.settings.host.clone()),
+        owner: owner.unwrap_or_else(|| node.settings().host.clone()),
         host: host.to_owned(),
         path: path.to_owned(),
         accepted_ms: node.store.clock_ms(),
@@ -137,7 +137,7 @@
             _ => Err(StoreFailure::Refused),
         };
     }
-    let size = node.settings.row_bytes / CHUNK_SHARE.1 * CHUNK_SHARE.0;
+    let size = node.settings().row_bytes / CHUNK_SHARE.1 * CHUNK_SHARE.0;
     let chunks = body.len().div_ceil(size);
     let put = (0..chunks).map(|index| {
         let end = body.len().min((index + 1) * size);
