Answers of other requests, without end or broken off are no answers; trickles end

Five causes, looked for after the operators' findings; each can happen here but for what is said: - A late second copy was compared with its request after X-Not-Executed had been believed: a copied refusal made a request that ran "not run". Reports and orders were not compared at all, and scores put the connection back. Now `Connection::send` compares, for all callers, and the connection goes. - An answer was collected without a bound in bytes (300 MiB of body filled the daemon). Heads end at 64 KiB, bodies at 9 MiB, the connection is dropped. A body of a caller that came before a desired state was known had no bound either: it is refused with 503 at once. - A stream's silence limit was renewed by any byte. Blocks of comments are no error. - A stream of a sample without length or chunks that ended with its connection counted as whole; now the next run has to show its end. A streaming answer that ends within an event breaks off. - Streams to callers had no time limit and were not waited for at a planned stop: the counted request now lives as long as its body. Heads and bodies of callers had no time limit: a late head ends the connection (HeaderTimeoutMs), a late body gets 408 (X-Deadline-Ms). Ruled out: half answers with a length or chunks; hyper reports them.

--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -9,10 +9,11 @@
 };
 use buckthornfall_proto::messages::MemberState;
 use bytes::Bytes;
-use http::{header, request, HeaderMap, Request, Response, StatusCode};
+use http::{header, request, HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use log::info;
+use tokio::time::timeout;
 
 use super::{
     answers, clock,
@@ -28,8 +29,8 @@
 /// Time that a caller of a job's interface waits if it does not say.
 const DEFAULT_WAIT: Duration = Duration::from_secs(3);
 
-/// Counts a request until its answer is there.
-struct Pending(Rc<Node>);
+/// Counts a request until the whole answer was handed to its connection.
+pub struct Pending(Rc<Node>);
 
 impl Pending {
     fn new(node: &Rc<Node>) -> Pending {
@@ -49,7 +50,11 @@
 
 /// Answers a request on any listener.
 pub async fn handle(node: Rc<Node>, req: Request<Incoming>) -> Response<AnswerBody> {
-    let _pending = Pending::new(&node);
+    let pending = Pending::new(&node);
+    reply(node, req).await.map(|body| body.counted(pending))
+}
+
+async fn reply(node: Rc<Node>, req: Request<Incoming>) -> Response<AnswerBody> {
     let question = interface::question(&req);
     if question != Some(Question::Ready) {
         node.requests.set(node.requests.get().saturating_add(1));
@@ -58,16 +63,30 @@
         return whole(answer(&node, question, &req).await);
     }
     let (head, body) = req.into_parts();
-    let limit = node.desired().map_or(usize::MAX, |desired| desired.limits.body_bytes);
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => route(&node, &head, body.to_bytes()).await,
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => {
+    let Some(desired) = node.desired() else {
+        return whole(closing(answers::not_run("no desired state is known yet")));
+    };
+    let body = Limited::new(body, desired.limits.body_bytes).collect();
+    match timeout(wait_limit(&head.headers), body).await {
+        Ok(Ok(body)) => route(&node, &head, body.to_bytes()).await,
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
             whole(answers::error(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
         }
-        Err(_) => whole(answers::error(StatusCode::BAD_REQUEST, "the body is not whole")),
+        Ok(Err(_)) => whole(answers::error(StatusCode::BAD_REQUEST, "the body is not whole")),
+        Err(_) => {
+            info!(request = text(&head.headers, &headers::ATTEMPT); "body_not_in_time");
+            let reply = answers::error(StatusCode::REQUEST_TIMEOUT, "the body took too long");
+            whole(closing(reply))
+        }
     }
 }
 
+/// Ends the connection after an answer whose request was not read to its end.
+fn closing(mut reply: Response<Bytes>) -> Response<Bytes> {
+    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    reply
+}
+
 /// All metrics.
 pub fn metrics(node: &Node) -> Response<AnswerBody> {
     let now = clock::now();
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -1,6 +1,7 @@
 //! Requests of callers that go to a server and back.
 
 use std::{
+    future::Future,
     pin::Pin,
     rc::Rc,
     task::{ready, Context, Poll},
@@ -19,10 +20,12 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use log::info;
-use tokio::time::timeout;
+use snafu::{ResultExt, Snafu};
+use tokio::time::{sleep, timeout, Sleep};
 
 use super::{
     answers, clock,
+    entry::Pending,
     http::{Connection, Error},
     node::Node,
 };
@@ -52,20 +55,77 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-/// The body of an answer.
-pub enum AnswerBody {
+/// The body of an answer, and the request that waits for it.
+pub struct AnswerBody {
+    source: Source,
+    /// Dropped with the body.
+    _pending: Option<Pending>,
+}
+
+/// Where the body of an answer comes from.
+enum Source {
     /// All of it.
     Whole(Full<Bytes>),
     /// What a server still sends.
     Relay(Relay),
 }
 
+impl AnswerBody {
+    fn new(source: Source) -> AnswerBody {
+        AnswerBody { source, _pending: None }
+    }
+
+    /// Counts the request as unanswered until the body was sent.
+    pub fn counted(self, pending: Pending) -> AnswerBody {
+        AnswerBody { _pending: Some(pending), ..self }
+    }
+}
+
 /// The rest of a server's answer.
-pub struct Relay {
+struct Relay {
     body: Incoming,
     conn: Option<Connection>,
     node: Rc<Node>,
     server: ServerId,
+    /// Ends the answer when the caller waits no longer.
+    deadline: Pin<Box<Sleep>>,
+    tail: Tail,
+}
+
+/// The last bytes of a stream of events. A server that dies in the middle of an event may close its
+/// connection as if the stream were whole.
+#[derive(Default)]
+struct Tail([u8; 4]);
+
+impl Tail {
+    fn push(&mut self, data: &[u8]) {
+        for byte in &data[data.len().saturating_sub(self.0.len())..] {
+            self.0.rotate_left(1);
+            self.0[3] = *byte;
+        }
+    }
+
+    fn ends_event(&self) -> bool {
+        self.0.ends_with(b"\n\n") || self.0 == *b"\r\n\r\n" || self.0 == [0; 4]
+    }
+}
+
+/// Why the rest of an answer does not come. Its connection is cut, so that the answer cannot be
+/// taken for a whole one.
+#[derive(Debug, Snafu)]
+pub enum RelayError {
+    /// The server broke off.
+    #[snafu(display("the server broke off: {source}"))]
+    Server {
+        /// What was seen.
+        source: hyper::Error,
+    },
+    /// The server closed its connection within an event.
+    #[snafu(display("the stream ends within an event"))]
+    WithinEvent,
+    /// The caller waits no longer.
+    #[snafu(display("the stream goes on after its time limit"))]
+    OutOfTime,
 }
 
 impl Drop for Relay {
@@ -78,48 +138,64 @@
 
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = RelayError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        match self.get_mut() {
-            AnswerBody::Whole(body) => match ready!(Pin::new(body).poll_frame(cx)) {
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        match &mut self.get_mut().source {
+            Source::Whole(body) => match ready!(Pin::new(body).poll_frame(cx)) {
                 Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
                 Some(Err(never)) => match never {},
                 None => Poll::Ready(None),
             },
-            AnswerBody::Relay(relay) => {
-                let frame = ready!(Pin::new(&mut relay.body).poll_frame(cx));
-                if frame.is_none() {
-                    if let Some(conn) = relay.conn.take() {
-                        relay.node.servers.put(conn);
-                    }
-                }
-                Poll::Ready(frame)
-            }
+            Source::Relay(relay) => relay.poll(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            AnswerBody::Whole(body) => body.is_end_stream(),
-            AnswerBody::Relay(_) => false,
+        match &self.source {
+            Source::Whole(body) => body.is_end_stream(),
+            Source::Relay(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            AnswerBody::Whole(body) => body.size_hint(),
-            AnswerBody::Relay(_) => SizeHint::default(),
+        match &self.source {
+            Source::Whole(body) => body.size_hint(),
+            Source::Relay(_) => SizeHint::default(),
+        }
+    }
+}
+
+impl Relay {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(OutOfTimeSnafu.fail()));
+        }
+        match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.tail.push(data);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(e)) => Poll::Ready(Some(Err(e).context(ServerSnafu))),
+            None if self.tail.ends_event() => {
+                if let Some(conn) = self.conn.take() {
+                    self.node.servers.put(conn);
+                }
+                Poll::Ready(None)
+            }
+            None => Poll::Ready(Some(WithinEventSnafu.fail())),
         }
     }
 }
 
 /// An answer with all of its body.
 pub fn whole(reply: Response<Bytes>) -> Response<AnswerBody> {
-    reply.map(|body| AnswerBody::Whole(Full::new(body)))
+    reply.map(|body| AnswerBody::new(Source::Whole(Full::new(body))))
 }
 
 /// How one try at a server ended.
@@ -256,7 +332,7 @@
     let patient = last || route.kind != RouteKind::Idempotent;
     let limit = if patient { left } else { left.min(TRY_MIN.max(learned * TRY_FACTOR)) };
     let started = clock::now();
-    let guard = InFlight::new(node, &server.id);
+    let guard = InFlight::new(node, &server.id, until);
     let end = timeout(limit, exchange(node, route, head, body, server, left)).await;
     let now = clock::now();
     let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
@@ -342,14 +418,16 @@
     took: Duration,
 ) -> Try {
     let status = reply.status();
-    let not_run = reply.headers().contains_key(headers::NOT_RUN);
-    if not_run || status == StatusCode::MISDIRECTED_REQUEST {
+    let echoed = reply.headers().get(headers::ATTEMPT) == id;
+    let not_run =
+        reply.headers().contains_key(headers::NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
+    // Without an id, what comes first on a kept connection may belong to the request before.
+    if not_run && (echoed || !conn.is_reused()) {
         guard.end(Ended::Refused);
         node.servers.put(conn);
         return Try::NotRun(format!("refused with {}", status.as_u16()));
     }
-    let proved =
-        reply.headers().contains_key(headers::PROOF) && reply.headers().get(headers::ATTEMPT) == id;
+    let proved = echoed && reply.headers().contains_key(headers::PROOF);
     if !proved || reply.headers().contains_key(header::CONTENT_ENCODING) {
         guard.end(Ended::Failed);
         return Try::failed(format!("{} without proof", status.as_u16()));
@@ -363,11 +441,12 @@
         Received::Whole(body) => {
             node.servers.put(conn);
             guard.end(Ended::Answered(took));
-            AnswerBody::Whole(Full::new(body))
+            Source::Whole(Full::new(body))
         }
-        Received::Streaming(body) => AnswerBody::Relay(guard.relay(body, conn)),
+        Received::Streaming(body) => Source::Relay(guard.relay(body, conn)),
     };
     let reply = Response::from_parts(head, body);
+    let body = AnswerBody::new(body);
     if status.is_server_error() && route.kind == RouteKind::Idempotent {
         let reason = format!("failed with {}", status.as_u16());
         return Try::Failed(Failure { reason, answer: Some(reply), crashed: false });
@@ -380,11 +459,13 @@
     node: Rc<Node>,
     server: Option<ServerId>,
 }
+    /// Until when the caller waits.
+    until: Now,
 
 impl InFlight {
-    fn new(node: &Rc<Node>, server: &ServerId) -> InFlight {
+    fn new(node: &Rc<Node>, server: &ServerId, until: Now) -> InFlight {
         node.backends.borrow_mut().started(server);
-        InFlight { node: Rc::clone(node), server: Some(server.clone()) }
+        InFlight { node: Rc::clone(node), server: Some(server.clone()), until }
     }
 
     fn end(mut self, how: Ended) {
@@ -395,7 +476,9 @@
 
     fn relay(mut self, body: Incoming, conn: Connection) -> Relay {
         let server = self.server.take().unwrap_or_default();
-        Relay { body, conn: Some(conn), node: Rc::clone(&self.node), server }
+        let deadline = Box::pin(sleep(self.until.saturating_sub(clock::now())));
+        let (node, tail) = (Rc::clone(&self.node), Tail::default());
+        Relay { body, conn: Some(conn), node, server, deadline, tail }
     }
 }
 
--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -6,9 +6,10 @@
     time::{Duration, Instant},
 };
 
+use buckthornfall_platform::headers;
 use bytes::Bytes;
-use http::{header, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http::{header, HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
@@ -40,6 +41,20 @@
         /// What was seen.
         source: hyper::Error,
     },
+    /// The answer is longer than any that is expected.
+    #[snafu(display("an answer of more than {limit} bytes from {addr}"))]
+    TooLong {
+        /// The other side.
+        addr: SocketAddr,
+        /// Most bytes that are read.
+        limit: usize,
+    },
+    /// The answer belongs to another request, as a second copy that came late does.
+    #[snafu(display("an answer to another request from {addr}"))]
+    Foreign {
+        /// The other side.
+        addr: SocketAddr,
+    },
     /// The answer did not come in time.
     #[snafu(display("no answer from {addr} within {limit:?}"))]
     TimedOut {
@@ -65,6 +80,12 @@
 /// How long before the stated time an idle connection is given up, against a close that crosses.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 
+/// Longest head of an answer, in bytes: four times the longest head of a request.
+const HEAD_BYTES: usize = 64 << 10;
+/// Longest body of an answer that is read whole, in bytes: above the largest object that the store
+/// keeps (8 MiB), so that a daemon of 160 MB bears several without end at a time.
+const BODY_BYTES: usize = 9 << 20;
+
 /// One connection; closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
@@ -87,7 +108,9 @@
         let connect = async {
             let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
             stream.set_nodelay(true).map_err(|e| e.to_string())?;
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())
+            let mut builder = http1::Builder::new();
+            builder.max_buf_size(HEAD_BYTES);
+            builder.handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())
         };
         let connected = timeout(limit, connect).await.ok();
         let connected = connected.context(TimedOutSnafu { addr, limit });
@@ -98,26 +121,50 @@
         Ok(Connection { addr, tx, task, used: 0, idle_limit: IDLE_DEFAULT })
     }
 
+    /// Whether it has carried a request before the last one, so that a late answer may come on it.
+    pub fn is_reused(&self) -> bool {
+        self.used > 1
+    }
+
     /// Sends a request and returns the head of the answer with the body to come.
     pub async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>> {
         let reused = self.used > 0;
         self.used += 1;
         let addr = self.addr;
+        let id = req.headers().get(headers::ATTEMPT).cloned();
         let sent = self.tx.send_request(req.map(Full::new)).await;
         let reply = sent.context(NoAnswerSnafu { addr, reused })?;
+        if answers_another(&reply, id.as_ref()) {
+            self.idle_limit = Duration::ZERO;
+            return ForeignSnafu { addr }.fail();
+        }
         self.idle_limit = idle_limit(&reply);
         Ok(reply)
     }
 
-    /// Reads the rest of an answer.
+    /// Reads the rest of an answer. Without all of it the connection must not be kept.
     pub async fn read(&self, reply: Response<Incoming>) -> Result<Response<Bytes>> {
+        let addr = self.addr;
         let (head, body) = reply.into_parts();
-        let collected = body.collect().await;
-        let body = collected.context(NoAnswerSnafu { addr: self.addr, reused: false })?;
-        Ok(Response::from_parts(head, body.to_bytes()))
+        match Limited::new(body, BODY_BYTES).collect().await {
+            Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
+            Err(e) => match e.downcast::<hyper::Error>() {
+                Ok(source) => Err(Error::NoAnswer { addr, reused: false, source: *source }),
+                Err(e) => {
+                    debug_assert!(e.is::<LengthLimitError>());
+                    TooLongSnafu { addr, limit: BODY_BYTES }.fail()
+                }
+            },
+        }
     }
 }
 
+/// Whether an answer names another request than the one with `id`. Requests without an id get
+/// answers without one.
+fn answers_another<B>(reply: &Response<B>, id: Option<&HeaderValue>) -> bool {
+    reply.headers().get(headers::ATTEMPT).is_some_and(|echoed| Some(echoed) != id)
+}
+
 fn idle_limit<B>(reply: &Response<B>) -> Duration {
     let value = reply.headers().get("keep-alive").and_then(|value| value.to_str().ok());
     let stated = value
--- a/crates/daemon/src/hosted/server.rs
+++ b/crates/daemon/src/hosted/server.rs
@@ -1,13 +1,24 @@
 //! Listeners and their connections.
 
 use std::{
-    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+    cell::Cell,
+    convert::Infallible,
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{ready, Context, Poll},
+    time::Duration,
 };
 
+use buckthornfall_core::Now;
+
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use log::warn;
+use log::{info, warn};
 use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     time::sleep,
 };
@@ -31,16 +42,13 @@
 }
 
 /// Listens on `addr` and serves each connection.
-pub async fn listen(node: &Rc<Node>, addr: SocketAddr, surface: Surface) -> std::io::Result<()> {
+pub async fn listen(node: &Rc<Node>, addr: SocketAddr, surface: Surface) -> io::Result<()> {
     let node = Rc::clone(node);
     accept(addr, move |stream| serve(Rc::clone(&node), stream, surface)).await
 }
 
 /// Listens on `addr` and carries out `serve` for each connection.
-pub async fn accept<F>(
-    addr: SocketAddr,
-    serve: impl Fn(TcpStream) -> F + 'static,
-) -> std::io::Result<()>
+pub async fn accept<F>(addr: SocketAddr, serve: impl Fn(TcpStream) -> F + 'static) -> io::Result<()>
 where
     F: Future<Output = ()> + 'static,
 {
@@ -61,10 +69,93 @@
     Ok(())
 }
 
-/// Requests on one connection, and when the last one ended.
+/// Requests on one connection.
 struct Activity {
     open: Cell<usize>,
-    last: Cell<buckthornfall_core::Now>,
+    /// When the last one ended.
+    last: Cell<Now>,
+    /// When the first bytes came of a head that is not whole yet.
+    head_since: Cell<Option<Now>>,
+}
+
+impl Activity {
+    fn new() -> Rc<Activity> {
+        let (open, head_since) = (Cell::new(0), Cell::new(None));
+        Rc::new(Activity { open, last: Cell::new(clock::now()), head_since })
+    }
+
+    fn on_request(&self) {
+        self.open.set(self.open.get() + 1);
+        self.head_since.set(None);
+    }
+
+    fn on_answer(&self) {
+        self.open.set(self.open.get() - 1);
+        self.last.set(clock::now());
+    }
+
+    fn is_idle(&self, limit: Duration) -> bool {
+        self.open.get() == 0 && clock::now().saturating_sub(self.last.get()) > limit
+    }
+
+    /// Whether a head has been on its way for longer than `limit`.
+    fn is_head_late(&self, limit: Duration) -> bool {
+        let since = self.head_since.get();
+        since.is_some_and(|since| clock::now().saturating_sub(since) > limit)
+    }
+}
+
+/// A caller's connection that notes when the head of a request begins to arrive.
+struct Watched {
+    stream: TcpStream,
+    activity: Rc<Activity>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let end = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        let activity = &self.activity;
+        let begins = activity.open.get() == 0 && activity.head_since.get().is_none();
+        if begins && buf.filled().len() > before {
+            activity.head_since.set(Some(clock::now()));
+        }
+        Poll::Ready(end)
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
 }
 
 async fn serve(node: Rc<Node>, stream: TcpStream, surface: Surface) {
@@ -72,18 +163,18 @@
         return;
     }
     let limits = node.desired().map(|desired| desired.limits.clone()).unwrap_or_default();
-    let activity = Rc::new(Activity { open: Cell::new(0), last: Cell::new(clock::now()) });
+    let activity = Activity::new();
+    let stream = Watched { stream, activity: Rc::clone(&activity) };
     let (of_service, owner) = (Rc::clone(&activity), Rc::clone(&node));
     let service = service_fn(move |req| {
         let (activity, node) = (Rc::clone(&of_service), Rc::clone(&owner));
         async move {
-            activity.open.set(activity.open.get() + 1);
+            activity.on_request();
             let reply = match surface {
                 Surface::Requests => entry::handle(node, req).await,
                 Surface::Metrics => entry::metrics(&node),
             };
-            activity.open.set(activity.open.get() - 1);
-            activity.last.set(clock::now());
+            activity.on_answer();
             Ok::<_, Infallible>(reply)
         }
     });
@@ -99,9 +190,11 @@
             () = node.stop.notified(), if !closing => {}
             () = sleep(IDLE_CHECK) => {}
         }
-        let idle = activity.open.get() == 0
-            && clock::now().saturating_sub(activity.last.get()) > limits.idle_timeout;
-        if !closing && (node.is_leaving() || idle) {
+        if activity.is_head_late(limits.header_timeout) {
+            info!(limit_ms = limits.header_timeout.as_millis() as u64; "head_not_in_time");
+            return;
+        }
+        if !closing && (node.is_leaving() || activity.is_idle(limits.idle_timeout)) {
             closing = true;
             conn.as_mut().graceful_shutdown();
         }
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use buckthornfall_core::{job::RunEnd, job::RunId, job::SampleSpec, Now};
+use buckthornfall_core::{
+    job::{RunEnd, RunId, SampleSpec},
+    progress::Progress,
+    Now,
+};
 use buckthornfall_platform::headers;
 use bytes::{Buf, Bytes, BytesMut};
 use http::{header, HeaderName, HeaderValue, Request, Response, StatusCode};
@@ -16,8 +20,8 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 /// Longest wait for the head of an answer: a load of weights and a full batch before it.
 const HEAD_LIMIT: Duration = Duration::from_millis(3_000);
-/// Longest silence within a stream: a load of weights, with room.
-const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+/// Longest wait for the rest of a refusal.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(2_000);
 /// Largest event.
 const EVENT_BYTES: usize = 1 << 20;
 
@@ -94,6 +98,11 @@
     read_events(node, run, reply.into_body(), pace).await?;
     if pace.events == 0 && req.after.is_none() {
         return fail(RunEnd::Broken, "the stream has no event");
+    let has_end = has_end(&reply);
+    }
+    if !has_end {
+        // A server that dies closes its connections too, so the next run has to show the end.
+        return fail(RunEnd::Broken, "the stream has no end but that of its connection");
     }
     node.servers.put(conn);
     Ok(RunEnd::Complete)
@@ -130,6 +139,12 @@
 async fn refused(
     node: &Rc<Node>,
     conn: Connection,
+/// Whether the end of an answer can be told from the end of its connection.
+fn has_end<B>(reply: &Response<B>) -> bool {
+    let names = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    names.iter().any(|name| reply.headers().contains_key(name))
+}
+
     reply: Response<Incoming>,
 ) -> Result<RunEnd, Failure> {
     let status = reply.status();
@@ -140,7 +155,7 @@
         StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed,
         _ => RunEnd::Broken,
     };
-    if let Ok(Ok(_)) = timeout(SILENCE_LIMIT, conn.read(reply)).await {
+    if let Ok(Ok(_)) = timeout(REFUSAL_LIMIT, conn.read(reply)).await {
         node.servers.put(conn);
     }
     fail(end, status)
@@ -154,26 +169,30 @@
 ) -> Result<(), Failure> {
     let mut buf = BytesMut::new();
     loop {
-        let frame = match timeout(SILENCE_LIMIT, body.frame()).await {
+        let wait = progress.due().saturating_sub(clock::now());
+        let frame = match timeout(wait, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
+    let mut progress = Progress::new(clock::now());
             Ok(Some(Err(e))) => return fail(RunEnd::Broken, e),
             Ok(None) => break,
-            Err(_) => return fail(RunEnd::Broken, "silence within the stream"),
+            Err(_) => return fail(RunEnd::Broken, "no whole event in time"),
         };
         let Ok(data) = frame.into_data() else { continue };
         buf.extend_from_slice(&data);
         let mut events = Vec::new();
         while let Some(block) = next_block(&mut buf) {
-            let Some(event) = parse_event(&block) else {
-                return fail(RunEnd::Broken, "an event cannot be read");
-            };
-            pace.count();
-            events.push(event);
+            match parse_event(&block) {
+                Ok(Some(event)) => events.push(event),
+                Ok(None) => {}
+                Err(Unreadable) => return fail(RunEnd::Broken, "an event cannot be read"),
+            }
         }
         if !events.is_empty() {
             node.runner(move |runner, cx| runner.on_events(cx, run, events));
         }
         if buf.len() > EVENT_BYTES {
+            progress.on_event(clock::now());
+            events.iter().for_each(|_| pace.count());
             return fail(RunEnd::Broken, "an event is too large");
         }
     }
@@ -191,22 +210,35 @@
     Some(block)
 }
 
-fn parse_event(block: &Bytes) -> Option<Event> {
+/// A block that is no event.
+struct Unreadable;
+
+/// The event in a block; `None` if it holds comments only.
+fn parse_event(block: &Bytes) -> Result<Option<Event>, Unreadable> {
     let mut id = None;
     let mut data = None;
     let mut version = None;
-    for line in block.split(|byte| *byte == b'\n') {
-        let colon = line.iter().position(|byte| *byte == b':')?;
+    let number = |value: &[u8]| {
+        std::str::from_utf8(value).ok().and_then(|text| text.trim().parse().ok()).ok_or(Unreadable)
+    };
+    let mut only_comments = true;
+    for line in block.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()) {
+        let colon = line.iter().position(|byte| *byte == b':').ok_or(Unreadable)?;
         let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii_start());
         if name == b"id" {
-            id = std::str::from_utf8(value).ok()?.trim().parse().ok();
+            id = Some(number(value)?);
         } else if name == b"data" {
+        only_comments &= name.is_empty();
             data = Some(block.slice_ref(value));
         } else if name == headers::VERSION_FIELD.as_bytes() {
-            version = Some(std::str::from_utf8(value).ok()?.trim().parse().ok()?);
+            version = Some(number(value)?);
         }
     }
-    Some(Event { id: id?, data: data?, version })
+    match (id, data) {
+        (Some(id), Some(data)) => Ok(Some(Event { id, data, version })),
+        _ if only_comments => Ok(None),
+        _ => Err(Unreadable),
+    }
 }
 
 fn number<B>(reply: &Response<B>, name: &HeaderName) -> Option<u64> {
