A server that says in its answers that it leaves gets no further request

Cause: Server-Leaving was read nowhere, so with a store that is away, or a row that stays ready, a leaving server got requests until it was gone. Change: `core::backends` keeps which start of a server said so, beside the entries; an entry of that start counts as draining whatever it says, also when it is removed and read again, until the id starts anew. Each answer is looked at: requests, streams, scores, reports and orders; not 421, which may come from another server at the address. A row `leaving/SERVER` tells the other daemons and later starts; it is removed a minute after the server has gone.

--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -127,10 +127,25 @@
     }
 }
 
+/// A server whose own answers said that it leaves.
+#[derive(Debug, Clone, Copy)]
+struct Leaving {
+    /// The start of the server that said so.
+    started_ms: u64,
+    /// When that was last heard.
+    heard: Now,
+}
+
+/// How long after the last such answer it is remembered that a server leaves: far longer than a
+/// server serves after it or its entry can be read again.
+const LEAVING_KEPT: Duration = Duration::from_secs(3_600);
+
 /// All backend servers known to a daemon.
 #[derive(Debug, Clone, Default)]
 pub struct Backends {
     servers: FxHashMap<ServerId, Tracked>,
+    /// Outlives the entries, as an older entry may be read again.
+    leaving: FxHashMap<ServerId, Leaving>,
 }
 
 /// Where a daemon stands among the availability zones.
@@ -180,7 +195,15 @@
 
 impl Backends {
     /// Adds or replaces an entry. A new start of a server forgets what was learned of the last one.
-    pub fn upsert(&mut self, entry: Backend) {
+    /// An entry of a start that leaves counts as draining, whatever it says.
+    pub fn upsert(&mut self, mut entry: Backend) {
+        if let Some(leaving) = self.leaving.get(&entry.id) {
+            if entry.started_ms <= leaving.started_ms {
+                entry.draining = true;
+            } else {
+                self.leaving.remove(&entry.id);
+            }
+        }
         match self.servers.get_mut(&entry.id) {
             Some(known) if known.entry.started_ms == entry.started_ms => {
                 if known.entry.models != entry.models {
@@ -195,6 +218,22 @@
         }
     }
 
+    /// Takes an answer of a server, sent by the start that began at `started_ms`, that says that it
+    /// leaves; whether that is news. From now on the server gets nothing until it starts anew.
+    pub fn on_leaving(&mut self, now: Now, id: &str, started_ms: u64) -> bool {
+        let known = self.leaving.get(id).copied();
+        let newest = self.servers.get(id).map(|server| server.entry.started_ms);
+        let newest = newest.max(known.map(|known| known.started_ms));
+        if newest.is_some_and(|newest| newest > started_ms) {
+            return false;
+        }
+        self.leaving.insert(id.to_owned(), Leaving { started_ms, heard: now });
+        if let Some(server) = self.servers.get_mut(id) {
+            server.entry.draining = true;
+        }
+        known.is_none_or(|known| known.started_ms < started_ms)
+    }
+
     /// Removes an entry; while the store is not `steady` the server stays usable for a while.
     pub fn remove(&mut self, now: Now, id: &str, steady: bool) {
         if steady {
@@ -212,6 +251,7 @@
 
     /// Forgets servers whose entry has been away for `LAPSED_KEPT` of a steady store.
     pub fn expire(&mut self, steady_since: Now, now: Now) {
+        self.leaving.retain(|_, leaving| now.saturating_sub(leaving.heard) < LEAVING_KEPT);
         self.servers.retain(|_, known| {
             known.lapsed.is_none_or(|at| now.saturating_sub(at.max(steady_since)) < LAPSED_KEPT)
         });
--- a/crates/core/tests/views.rs
+++ b/crates/core/tests/views.rs
@@ -6,6 +6,8 @@
     backends::{Backend, Backends, Ended, Location, Want, LAPSED_KEPT},
     desired::{Desired, InForce, Route, RouteKind, Target},
     members::Members,
+    progress::{Progress, EVENT_LIMIT},
+    readiness::{Readiness, Table},
     Now,
 };
 use buckthornfall_proto::messages::{MemberRow, MemberState};
@@ -84,6 +86,79 @@
     assert_eq!(chosen(&backends, NOW), Some("s1".to_owned()));
 }
 
+fn is_draining(backends: &Backends, id: &str) -> bool {
+    backends.get(id).unwrap().draining
+}
+
+#[test]
+fn a_server_that_says_that_it_leaves_gets_nothing_whatever_its_entry_says() {
+    let mut backends = Backends::default();
+    backends.upsert(backend("s1", 5));
+    assert!(backends.on_leaving(NOW, "s1", 5), "news");
+    assert!(!backends.on_leaving(NOW, "s1", 5), "no news");
+    assert_eq!((chosen(&backends, NOW), backends.usable(NOW, "s1")), (None, false));
+    // Its next heartbeat, an entry that was removed and is read again, an older start.
+    backends.upsert(backend("s1", 5));
+    assert_eq!(chosen(&backends, NOW), None);
+    backends.remove(NOW, "s1", true);
+    backends.upsert(backend("s1", 5));
+    assert_eq!(chosen(&backends, NOW), None);
+    backends.retain(NOW, &[], true);
+    backends.upsert(backend("s1", 4));
+    assert_eq!(chosen(&backends, NOW), None);
+    // Its answers say nothing of the next start.
+    backends.upsert(backend("s1", 6));
+    assert_eq!(chosen(&backends, NOW), Some("s1".to_owned()));
+    assert!(!backends.on_leaving(NOW, "s1", 5), "a late answer of the start before");
+    assert_eq!(chosen(&backends, NOW), Some("s1".to_owned()));
+}
+
+#[test]
+fn an_answer_may_say_that_a_server_leaves_before_its_entry_is_read() {
+    let mut backends = Backends::default();
+    backends.on_leaving(NOW, "s1", 5);
+    backends.upsert(backend("s1", 5));
+    assert!(is_draining(&backends, "s1"));
+    backends.expire(NOW, NOW + Duration::from_secs(600));
+    backends.upsert(backend("s1", 5));
+    assert!(is_draining(&backends, "s1"), "ten minutes later");
+}
+
+#[test]
+fn a_table_that_is_read_again_does_not_stand_for_another_one() {
+    let mut readiness = Readiness::default();
+    for _ in 0..3 {
+        readiness.on_read(Table::Operator);
+    }
+    assert!(!readiness.is_complete());
+    readiness.on_read(Table::Servers);
+    readiness.on_read(Table::Fleet);
+    assert!(readiness.is_complete());
+}
+
+#[test]
+fn only_whole_events_keep_a_stream_and_slow_ones_do() {
+    let event = |progress: &mut Progress, at| {
+        assert!(progress.due() > at, "cut before its event");
+        progress.on_event(at);
+    };
+    // Other bytes do not count, so the limit stands from the start.
+    assert_eq!(Progress::new(NOW).due(), NOW + EVENT_LIMIT);
+    // An event each 1.5 s, and one that grows slower.
+    let mut slow = Progress::new(NOW);
+    (1..=20).for_each(|n| event(&mut slow, NOW + Duration::from_millis(1_500) * n));
+    let mut slower = Progress::new(NOW);
+    let mut at = NOW;
+    for pause_ms in [1_900, 3_000, 5_000] {
+        at += Duration::from_millis(pause_ms);
+        event(&mut slower, at);
+    }
+    // A fast one that stops.
+    let mut fast = Progress::new(NOW);
+    (1..=50).for_each(|n| event(&mut fast, NOW + Duration::from_millis(40) * n));
+    assert_eq!(fast.due(), NOW + Duration::from_secs(2) + EVENT_LIMIT);
+}
+
 fn member(beat: u64) -> MemberRow {
     MemberRow {
         front: "127.0.0.1:1".to_owned(),
--- a/crates/daemon/src/hosted/cleanup.rs
+++ b/crates/daemon/src/hosted/cleanup.rs
@@ -21,6 +21,9 @@
 const INTERVAL: Duration = Duration::from_secs(2);
 /// Most rows that one transaction removes, a bound of the store.
 const MAX_ROWS: usize = 100;
+/// How long the row of a server that leaves is kept at least: its entry may lapse and come back
+/// while the store is away.
+const LEFT_KEPT: Duration = Duration::from_secs(60);
 /// Tables with a partition for each job.
 const TABLES: [&str; 3] = [rows::SUBMISSIONS, rows::RESULTS, rows::PROGRESS];
 
@@ -34,6 +37,7 @@
         for (id, job) in over(&node) {
             remove(&node, &id, &job).await;
         }
+        forget_left(&node).await;
     }
 }
 
@@ -49,6 +53,26 @@
     over.map(|(id, job)| (id.clone(), job.clone())).collect()
 }
 
+/// Removes the rows of servers that have left, and of those that have started anew.
+async fn forget_left(node: &Node) {
+    let keys: Vec<_> = {
+        let now = clock::now();
+        let (members, backends) = (node.members.borrow(), node.backends.borrow());
+        let known = node.leaving_rows.borrow();
+        let over = known.iter().filter(|(id, read)| {
+            let leaves = backends.get(id).is_some_and(|entry| entry.draining);
+            let ours = members.owner(now, id).is_some_and(|host| *host == node.settings().host);
+            !leaves && ours && now.saturating_sub(**read) > LEFT_KEPT
+        });
+        let key = |id: &str| RowKey::new(rows::FLEET, "", &format!("{}{id}", rows::LEAVING));
+        over.map(|(id, _)| key(id)).take(MAX_ROWS).collect()
+    };
+    if !keys.is_empty() {
+        let end = node.store.transact(&StoreTx::remove(keys)).await;
+        info!(outcome:? = end; "left_servers_removed");
+    }
+}
+
 /// The row of the job goes last: while it stands, a removal that broke off is begun again.
 async fn remove(node: &Rc<Node>, id: &str, job: &KnownJob) {
     let mut removed = 0;
--- a/crates/daemon/src/hosted/duty.rs
+++ b/crates/daemon/src/hosted/duty.rs
@@ -189,9 +189,12 @@
     }
 }
 
-async fn ask_report(node: &Node, server: &Backend) -> Option<OrderReport> {
+async fn ask_report(node: &Rc<Node>, server: &Backend) -> Option<OrderReport> {
     let req = servers::ask_report(server);
     let reply = node.servers.call(server.addr, req, CONNECT_LIMIT, ANSWER_LIMIT).await;
+    if let Ok(reply) = &reply {
+        node.on_reply(&server.id, server.started_ms, reply);
+    }
     let report = match &reply {
         Ok(reply) => servers::report(reply).unwrap_or_default(),
         Err(_) => None,
@@ -204,6 +207,9 @@
 async fn send_order(node: &Rc<Node>, server: &Backend, order: &Order) -> OrderEnd {
     let req = servers::order(server, &node.settings().host, order);
     let reply = node.servers.call(server.addr, req, CONNECT_LIMIT, ANSWER_LIMIT).await;
+    if let Ok(reply) = &reply {
+        node.on_reply(&server.id, server.started_ms, reply);
+    }
     let end = servers::order_end(reply.as_ref().ok());
     info!(server = server.id.as_str(), model = order.model.as_str(), version = order.version,
         accepted = order.accepted, fence = order.fence, outcome:? = end; "weights_ordered");
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -9,7 +9,7 @@
 use buckthornfall_platform::{deployment, servers, store as wire};
 use buckthornfall_proto::{
     ids::ServerId,
-    messages::{JobRow, MemberRow, SuspectRow},
+    messages::{JobRow, LeavingRow, MemberRow, SuspectRow},
 };
 use log::{info, warn};
 use rustc_hash::FxHashSet;
@@ -30,6 +30,7 @@
         Table::Servers => wire::SERVER_TABLE,
         Table::Fleet => rows::FLEET,
     }
+}
 
 fn pace(table: Table) -> Duration {
     match table {
@@ -154,18 +155,19 @@
     };
     match servers::entry(id, value) {
         Ok(entry) => {
-            let known = backends.get(id);
-            let changed = known.is_none_or(|known| {
-                known.draining != entry.draining
-                    || known.models != entry.models
-                    || known.started_ms != entry.started_ms
+            let before = backends.get(id).cloned();
+            backends.upsert(entry);
+            let Some(entry) = backends.get(id) else { return };
+            let changed = before.is_none_or(|before| {
+                before.draining != entry.draining
+                    || before.models != entry.models
+                    || before.started_ms != entry.started_ms
             });
             if changed {
                 info!(server = id.as_str(), service = entry.service.as_str(), draining = entry.draining,
                     models:? = entry.models.iter().map(|m| (&m.name, m.version)).collect::<Vec<_>>(),
                     row_version = row.version; "server_entry");
             }
-            backends.upsert(entry);
         }
         Err(e) => {
             warn!(server = id.as_str(), row_version = row.version, error:% = e; "server_entry_unreadable");
@@ -192,6 +194,17 @@
             let mut suspects = node.suspects.borrow_mut();
             suspects.on_shared(clock::now(), fingerprint, suspect.crashes);
         }
+    } else if let Some(server) = key.strip_prefix(rows::LEAVING) {
+        let leaving = rows::decode::<LeavingRow>(row);
+        let mut known = node.leaving_rows.borrow_mut();
+        match leaving {
+            Some(leaving) => {
+                known.insert(server.to_owned(), clock::now());
+                let mut backends = node.backends.borrow_mut();
+                backends.on_leaving(clock::now(), server, leaving.started_ms);
+            }
+            None => drop(known.remove(server)),
+        }
     } else if key == rows::PLAN {
         if let Some(plan) = rows::decode(row) {
             let plan = buckthornfall_core::weights::Plan::from_row(plan);
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -369,6 +369,7 @@
 ) -> Result<(Response<Received>, Connection), Error> {
     let mut conn = node.servers.get(server.addr, CONNECT_LIMIT.min(left)).await?;
     let reply = conn.send(message(head, body, server, left)).await?;
+    node.on_reply(&server.id, server.started_ms, &reply);
     let streams = route.kind == RouteKind::Stream && reply.status() == StatusCode::OK;
     let reply = if streams {
         reply.map(Received::Streaming)
@@ -445,8 +446,8 @@
         }
         Received::Streaming(body) => Source::Relay(guard.relay(body, conn)),
     };
-    let reply = Response::from_parts(head, body);
     let body = AnswerBody::new(body);
+    let reply = Response::from_parts(head, body);
     if status.is_server_error() && route.kind == RouteKind::Idempotent {
         let reason = format!("failed with {}", status.as_u16());
         return Try::Failed(Failure { reason, answer: Some(reply), crashed: false });
@@ -458,9 +459,9 @@
 struct InFlight {
     node: Rc<Node>,
     server: Option<ServerId>,
-}
     /// Until when the caller waits.
     until: Now,
+}
 
 impl InFlight {
     fn new(node: &Rc<Node>, server: &ServerId, until: Now) -> InFlight {
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -4,6 +4,7 @@
     cell::{Cell, OnceCell, RefCell},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use buckthornfall_core::{
@@ -15,17 +16,19 @@
     store::{RowKey, RowVersion, StoreTx, TxEnd},
     suspects::Suspects,
     weights::Plan,
+    Now,
 };
 use buckthornfall_platform::{headers, settings::NodeSettings};
 use buckthornfall_proto::{
-    ids::Fingerprint,
-    messages::{JobRow, JobState, MemberState, SuspectRow},
+    ids::{Fingerprint, ServerId},
+    messages::{JobRow, JobState, LeavingRow, MemberState, SuspectRow},
 };
+use http::{HeaderMap, Response, StatusCode};
 use log::info;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rustc_hash::{FxHashMap, FxHashSet};
 use stakker::{Actor, Deferrer, Stakker};
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::sleep};
 
 use super::{clock, duty::Duty, http::Pool, rows, runner::Runner, store::Store};
 
@@ -71,6 +74,8 @@
     pub backends: RefCell<Backends>,
     pub members: RefCell<Members>,
     pub suspects: RefCell<Suspects>,
+    /// Servers of which the store says that they leave, with when that was read.
+    pub leaving_rows: RefCell<FxHashMap<ServerId, Now>>,
     pub jobs: RefCell<FxHashMap<JobId, KnownJob>>,
     /// Jobs whose text is being read.
     pub loading: RefCell<FxHashSet<JobId>>,
@@ -102,6 +107,7 @@
             desired: RefCell::default(),
             backends: RefCell::default(),
             suspects: RefCell::default(),
+            leaving_rows: RefCell::default(),
             members: RefCell::new(Members::new(settings.host.clone())),
             jobs: RefCell::default(),
             loading: RefCell::default(),
@@ -117,12 +123,6 @@
         })
     }
 
-    /// The desired state in force.
-    pub fn desired(&self) -> Option<Arc<Desired>> {
-        self.desired.borrow().get().cloned()
-    }
-
-    /// Whether a planned stop has begun.
     /// The settings in force.
     pub fn settings(&self) -> Rc<NodeSettings> {
         Rc::clone(&self.settings.borrow())
@@ -133,6 +133,12 @@
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
+    /// The desired state in force.
+    pub fn desired(&self) -> Option<Arc<Desired>> {
+        self.desired.borrow().get().cloned()
+    }
+
+    /// Whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
         self.state.get() == MemberState::Leaving
     }
@@ -172,6 +178,35 @@
         });
     }
 
+    /// Takes the head of a server's answer: a server may say there that it leaves. `started_ms` is
+    /// the start of the server that the request was sent to.
+    pub fn on_reply<B>(self: &Rc<Node>, server: &str, started_ms: u64, reply: &Response<B>) {
+        // Another server may answer so at the address of one that is gone.
+        let misdirected = reply.status() == StatusCode::MISDIRECTED_REQUEST;
+        if misdirected || !says_leaving(reply.headers()) {
+            return;
+        }
+        let news = self.backends.borrow_mut().on_leaving(clock::now(), server, started_ms);
+        if news {
+            info!(server, started_ms; "server_leaves");
+            let (node, server) = (Rc::clone(self), server.to_owned());
+            tokio::task::spawn_local(async move { node.share_leaving(&server, started_ms).await });
+        }
+    }
+
+    /// Tells the other daemons, and later starts of this one, that a server leaves.
+    async fn share_leaving(&self, server: &str, started_ms: u64) {
+        let key = RowKey::new(rows::FLEET, "", &format!("{}{server}", rows::LEAVING));
+        let tx = StoreTx::put(vec![(key, rows::encode(&LeavingRow { started_ms }))]);
+        let is_open = || {
+            let known = self.leaving_rows.borrow().contains_key(server);
+            !known && self.backends.borrow().get(server).is_some()
+        };
+        while is_open() && !matches!(self.store.transact(&tx).await, TxEnd::Committed(_)) {
+            sleep(SHARE_PAUSE).await;
+        }
+    }
+
     /// Takes the row of a job; an older version of it changes nothing.
     pub fn on_job(self: &Rc<Node>, id: &str, row: JobRow, version: RowVersion) {
         let known = self.jobs.borrow().get(id).map(|known| known.version);
@@ -242,3 +277,7 @@
         RowKey::new(rows::FLEET, "", &format!("{}{id}", rows::JOB))
     }
 }
+
+fn says_leaving(sent: &HeaderMap) -> bool {
+    sent.get(headers::LEAVING).is_some_and(|value| value == "1")
+}
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -19,6 +19,8 @@
 pub const JOB: &str = "job/";
 /// Start of the keys of requests that crash servers.
 pub const SUSPECT: &str = "suspect/";
+/// Start of the keys of servers that said that they leave.
+pub const LEAVING: &str = "leaving/";
 /// Key of the plan.
 pub const PLAN: &str = "plan";
 
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -245,9 +245,9 @@
         after: Option<u64>,
     ) {
         let Some((sample, policy)) = self.jobs.sample(job, index) else { return };
-        let addr = self.node.backends.borrow().get(&server).map(|entry| entry.addr);
+        let entry = self.node.backends.borrow().get(&server).cloned();
         let host = self.node.jobs.borrow().get(job).map(|job| job.row.host.clone());
-        let (Some(addr), Some(host)) = (addr, host) else {
+        let (Some(entry), Some(host)) = (entry, host) else {
             // The server vanished since it was chosen.
             self.node.runner(move |runner, cx| runner.on_run_end(cx, run, &RunEnd::Refused));
             return;
@@ -256,7 +256,8 @@
             run,
             job: job.to_owned(),
             server,
-            addr,
+            addr: entry.addr,
+            started_ms: entry.started_ms,
             host,
             sample: sample.clone(),
             after,
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -75,6 +75,7 @@
             return (ScoreEnd::NoAnswer, server.id, e.to_string());
         }
     };
+    node.on_reply(&server.id, server.started_ms, &reply);
     let echoed = reply.headers().get(headers::ATTEMPT).is_some_and(|id| id == scorer.id.as_str());
     let proof = reply.headers().get(headers::PROOF).and_then(|value| value.to_str().ok());
     let status = reply.status();
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -31,6 +31,8 @@
     pub job: String,
     pub server: String,
     pub addr: SocketAddr,
+    /// The start of the server that is meant, in Unix milliseconds.
+    pub started_ms: u64,
     pub host: String,
     pub sample: SampleSpec,
     pub after: Option<u64>,
@@ -84,6 +86,7 @@
         Ok(Err(e)) => return fail(RunEnd::Broken, e),
         Err(_) => return fail(RunEnd::Broken, "no head of an answer in time"),
     };
+    node.on_reply(&req.server, req.started_ms, &reply);
     check_id(&reply, &req.sample.id)?;
     if reply.status() != StatusCode::OK {
         return refused(node, conn, reply).await;
@@ -95,15 +98,15 @@
         None if req.after.is_some() => {}
         None => return fail(RunEnd::Broken, "the answer names no version"),
     }
-    read_events(node, run, reply.into_body(), pace).await?;
-    if pace.events == 0 && req.after.is_none() {
-        return fail(RunEnd::Broken, "the stream has no event");
     let has_end = has_end(&reply);
-    }
+    read_events(node, run, reply.into_body(), pace).await?;
     if !has_end {
         // A server that dies closes its connections too, so the next run has to show the end.
         return fail(RunEnd::Broken, "the stream has no end but that of its connection");
     }
+    if pace.events == 0 && req.after.is_none() {
+        return fail(RunEnd::Broken, "the stream has no event");
+    }
     node.servers.put(conn);
     Ok(RunEnd::Complete)
 }
@@ -136,15 +139,15 @@
     fail(RunEnd::Broken, "the answer is not to this request")
 }
 
-async fn refused(
-    node: &Rc<Node>,
-    conn: Connection,
 /// Whether the end of an answer can be told from the end of its connection.
 fn has_end<B>(reply: &Response<B>) -> bool {
     let names = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
     names.iter().any(|name| reply.headers().contains_key(name))
 }
 
+async fn refused(
+    node: &Rc<Node>,
+    conn: Connection,
     reply: Response<Incoming>,
 ) -> Result<RunEnd, Failure> {
     let status = reply.status();
@@ -168,11 +171,11 @@
     pace: &mut Pace,
 ) -> Result<(), Failure> {
     let mut buf = BytesMut::new();
+    let mut progress = Progress::new(clock::now());
     loop {
         let wait = progress.due().saturating_sub(clock::now());
         let frame = match timeout(wait, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
-    let mut progress = Progress::new(clock::now());
             Ok(Some(Err(e))) => return fail(RunEnd::Broken, e),
             Ok(None) => break,
             Err(_) => return fail(RunEnd::Broken, "no whole event in time"),
@@ -188,11 +191,11 @@
             }
         }
         if !events.is_empty() {
+            progress.on_event(clock::now());
+            events.iter().for_each(|_| pace.count());
             node.runner(move |runner, cx| runner.on_events(cx, run, events));
         }
         if buf.len() > EVENT_BYTES {
-            progress.on_event(clock::now());
-            events.iter().for_each(|_| pace.count());
             return fail(RunEnd::Broken, "an event is too large");
         }
     }
@@ -225,10 +228,10 @@
     for line in block.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()) {
         let colon = line.iter().position(|byte| *byte == b':').ok_or(Unreadable)?;
         let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii_start());
+        only_comments &= name.is_empty();
         if name == b"id" {
             id = Some(number(value)?);
         } else if name == b"data" {
-        only_comments &= name.is_empty();
             data = Some(block.slice_ref(value));
         } else if name == headers::VERSION_FIELD.as_bytes() {
             version = Some(number(value)?);
