Runs of long samples leave a slow server after 20 events

Such samples ended at 7.94 to 8.22 s where they began on a slow server and moved after 30 events, 1.5 s after their start; at 7.6 to 7.75 s otherwise. Loads of weights cost them nothing. Change: the move rule for long samples begins at 20 events. Ruled out, tried and reverted: slots for all samples of a job of long samples at once, taken from the model with short ones, and learned paces kept for 30 s. What binds: a step's trainer sees its end 0.4 to 0.6 s after the last sample (score, append, its reads twice a second), trains 1 s, and asks the next step but one: 9.1 s for two steps of 4 s, so a trainer whose steps hold samples of 200 events falls behind by itself.

--- a/crates/core/src/job/runs.rs
+++ b/crates/core/src/job/runs.rs
@@ -125,7 +125,7 @@
 }
 
 const MOVE_RULES: [MoveRule; 2] =
-    [MoveRule { events: 3, gain: 1.8, moves: 3 }, MoveRule { events: 30, gain: 1.22, moves: 0 }];
+    [MoveRule { events: 3, gain: 1.8, moves: 3 }, MoveRule { events: 20, gain: 1.22, moves: 0 }];
 
 impl Run {
     fn may_move(&self) -> bool {
