--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,12 +4,14 @@
 //! - `cargo xtask codegen-check` fails if they differ from what it would write.
 //! - `cargo xtask core-check` fails if `crates/core` depends on a crate that does I/O.
 //! - `cargo xtask names-check` fails if names of the users' platform stand outside its folders.
+//! - `cargo xtask regress` plays the sites of `deploy/regression.json`, where the kit is at hand.
 //! - `cargo xtask test` runs all tests and judges them by KNOWN-RED.txt.
 
 mod codegen;
 mod core_check;
 mod known_red;
 mod names_check;
+mod regress;
 
 use std::process::ExitCode;
 
@@ -20,6 +22,7 @@
         "codegen-check" => codegen::check().map_err(|e| e.to_string()),
         "core-check" => core_check::check().map_err(|e| e.to_string()),
         "names-check" => names_check::check().map_err(|e| e.to_string()),
+        "regress" => regress::run().map_err(|e| e.to_string()),
         "test" => known_red::test().map_err(|e| e.to_string()),
         other => Err(format!("task {other:?} does not exist")),
     };
