--- a/crates/core/tests/heavy_days.rs
+++ b/crates/core/tests/heavy_days.rs
@@ -158,7 +158,8 @@
             match action {
                 JobAction::Run { run, job, sample, server, after } => {
                     let index: usize = server[1..].parse().unwrap();
-                    let pace = Duration::from_millis(PACES_MS[usize::from(index % 3 == 0)]);
+                    let pace =
+                        Duration::from_millis(PACES_MS[usize::from(index.is_multiple_of(3))]);
                     assert!(self.jobs.on_head(run, 1));
                     let made = after.unwrap_or(0);
                     let next = self.now + pace;
@@ -208,7 +209,7 @@
             let until = if step + 1 == STEPS { until + DUE } else { until };
             while self.now < until {
                 self.serve();
-                if self.now.as_millis() % DECISION_TICK.as_millis() == 0 {
+                if self.now.as_millis().is_multiple_of(DECISION_TICK.as_millis()) {
                     self.tick();
                 }
                 self.now += TICK;
