--- a/crates/core/tests/heavy_days.rs
+++ b/crates/core/tests/heavy_days.rs
@@ -1,7 +1,7 @@
 //! The load of the heaviest days, played against the decisions on servers and samples: two trainers
 //! whose jobs arrive at once, with lengths that are heavy-tailed and known badly.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, fmt::Write, time::Duration};
 
 use buckthornfall_core::{
     backends::{Backend, Backends, HeldModel},
@@ -71,6 +71,8 @@
     active: BTreeMap<RunId, Active>,
     /// Length of each sample of each job, and when it was whole.
     lengths: BTreeMap<String, Vec<(u64, Option<Now>)>>,
+    /// Runs that were moved.
+    moves: usize,
 }
 
 impl Day {
@@ -97,6 +99,7 @@
             weights: Weights::default(),
             active: BTreeMap::new(),
             lengths: BTreeMap::new(),
+            moves: 0,
         }
     }
 
@@ -166,6 +169,7 @@
                     self.active.insert(run, Active { job, sample, made, next, pace });
                 }
                 JobAction::Move { run } | JobAction::Cancel { run, .. } => {
+                    self.moves += 1;
                     self.active.remove(&run);
                 }
                 JobAction::Append { job, .. } => {
@@ -235,13 +239,19 @@
 }
 
 /// A sample of 200 events that starts at once on a fast server takes 7.6 s, so each step can be in
-/// time; one that begins on a slow server has 0.3 s to leave it.
+/// time; one that begins on a slow server has 0.3 s to leave it. Each move costs a connection.
 #[test]
 fn steps_with_long_samples_are_whole_in_time_on_a_heavy_day() {
+    let mut table = String::new();
     for seed in 1..=5 {
-        for (model, durations) in Day::new(seed).play() {
-            let worst = durations.iter().max().expect("there are steps");
-            assert!(*worst <= DUE, "seed {seed}: a step of {model} took {worst:?}");
+        let mut day = Day::new(seed);
+        for (model, durations) in day.play() {
+            let worst = durations.iter().max().expect("there are steps").as_millis();
+            let mean = (durations.iter().sum::<Duration>() / STEPS).as_millis();
+            assert!(worst <= DUE.as_millis(), "seed {seed}: a step of {model} took {worst} ms");
+            writeln!(table, "seed {seed} {model}: mean {mean} ms, worst {worst} ms").unwrap();
         }
+        writeln!(table, "seed {seed} moves: {}", day.moves).unwrap();
     }
+    insta::assert_snapshot!(table);
 }
