--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -4,6 +4,7 @@
 //! make the decisions on jobs and on weights between two batches of its events.
 
 mod answers;
+mod body;
 mod cleanup;
 mod clock;
 mod duty;
--- a/crates/daemon/src/hosted/cleanup.rs
+++ b/crates/daemon/src/hosted/cleanup.rs
@@ -42,27 +42,29 @@
 }
 
 fn over(node: &Node) -> Vec<(JobId, KnownJob)> {
-    let (now, clock_ms) = (clock::now(), node.store.clock_ms());
-    let members = node.members.borrow();
-    let is_ours =
-        |id: &str| members.owner(now, id).is_some_and(|host| *host == node.settings().host);
+    let clock_ms = node.store.clock_ms();
     let jobs = node.jobs.borrow();
     let over = jobs.iter().filter(|(id, job)| {
-        retention::is_over(&job.row, clock_ms, node.settings().results_kept) && is_ours(id)
+        retention::is_over(&job.row, clock_ms, node.settings().results_kept) && is_ours(node, id)
     });
     over.map(|(id, job)| (id.clone(), job.clone())).collect()
 }
 
+/// Whether this daemon is the first choice for what `id` names.
+fn is_ours(node: &Node, id: &str) -> bool {
+    let members = node.members.borrow();
+    members.owner(clock::now(), id).is_some_and(|host| *host == node.settings().host)
+}
+
 /// Removes the rows of servers that have left, and of those that have started anew.
 async fn forget_left(node: &Node) {
     let keys: Vec<_> = {
         let now = clock::now();
-        let (members, backends) = (node.members.borrow(), node.backends.borrow());
+        let backends = node.backends.borrow();
         let known = node.leaving_rows.borrow();
         let over = known.iter().filter(|(id, read)| {
             let leaves = backends.get(id).is_some_and(|entry| entry.draining);
-            let ours = members.owner(now, id).is_some_and(|host| *host == node.settings().host);
-            !leaves && ours && now.saturating_sub(**read) > LEFT_KEPT
+            !leaves && is_ours(node, id) && now.saturating_sub(**read) > LEFT_KEPT
         });
         let key = |id: &str| RowKey::new(rows::FLEET, "", &format!("{}{id}", rows::LEAVING));
         over.map(|(id, _)| key(id)).take(MAX_ROWS).collect()
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -16,8 +16,10 @@
 use tokio::time::timeout;
 
 use super::{
-    answers, clock,
-    forward::{self, text, whole, AnswerBody},
+    answers,
+    body::{whole, AnswerBody, Pending},
+    clock,
+    forward::{self, text},
     node::Node,
     submissions,
 };
@@ -29,25 +31,6 @@
 /// Time that a caller of a job's interface waits if it does not say.
 const DEFAULT_WAIT: Duration = Duration::from_secs(3);
 
-/// Counts a request until the whole answer was handed to its connection.
-pub struct Pending(Rc<Node>);
-
-impl Pending {
-    fn new(node: &Rc<Node>) -> Pending {
-        node.inflight.set(node.inflight.get() + 1);
-        Pending(Rc::clone(node))
-    }
-}
-
-impl Drop for Pending {
-    fn drop(&mut self) {
-        self.0.inflight.set(self.0.inflight.get() - 1);
-        if self.0.is_leaving() {
-            self.0.stop.notify_waiters();
-        }
-    }
-}
-
 /// Answers a request on any listener.
 pub async fn handle(node: Rc<Node>, req: Request<Incoming>) -> Response<AnswerBody> {
     let pending = Pending::new(&node);
