--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -76,6 +76,8 @@
     log: log::Log,
     /// Indices of samples, the one to start first at the front.
     order: Vec<usize>,
+    /// Least estimate of the longest quarter of its samples, in tokens.
+    long_estimate: u64,
 }
 
 #[derive(Debug)]
@@ -148,7 +150,9 @@
                 self.new_sample(now, sample, &spec, &policy, saved)
             })
             .collect();
-        let mut job = Job { spec, policy, samples, log: log::Log::default(), order };
+        let long_estimate = order::long_estimate(&spec);
+        let log = log::Log::default();
+        let mut job = Job { spec, policy, samples, log, order, long_estimate };
         job.on_listed(listed);
         self.jobs.insert(id.to_owned(), job);
     }
--- a/crates/core/src/job/order.rs
+++ b/crates/core/src/job/order.rs
@@ -32,6 +32,16 @@
     order
 }
 
+/// Of a job's samples, one in this many counts as long.
+const LONG_SHARE: usize = 4;
+
+/// Least estimate, in tokens, of the samples that count as long.
+pub(super) fn long_estimate(spec: &JobSpec) -> u64 {
+    let mut estimates: Vec<_> = spec.samples.iter().map(|s| s.expected_tokens).collect();
+    estimates.sort_unstable_by_key(|tokens| std::cmp::Reverse(*tokens));
+    estimates.get(estimates.len() / LONG_SHARE).copied().unwrap_or_default()
+}
+
 #[derive(Default)]
 struct Group {
     /// Expected tokens of its longest sample.
--- a/crates/core/src/job/runs.rs
+++ b/crates/core/src/job/runs.rs
@@ -113,16 +113,28 @@
     }
 }
 
-/// Events after which the pace of a run's server is known.
-const PACE_KNOWN: u32 = 3;
-/// Least time that a move must save: it costs a connection, and the sample is put off by it.
-const LEAST_SAVED: Duration = Duration::from_millis(600);
-/// Most moves of a sample.
-const MAX_MOVES: u32 = 4;
+/// When a run moves: a move costs a connection, so the gain must be large, or small but for one of
+/// the few long samples, which have the most left to gain.
+struct MoveRule {
+    /// Fewest events that the run has made.
+    events: u32,
+    /// Least ratio of the times that the two servers take for an event.
+    gain: f64,
+    /// Most moves that the sample has made.
+    moves: u32,
+    /// Whether this holds for samples alone that are estimated to be long.
+    long: bool,
+}
+
+const MOVE_RULES: [MoveRule; 3] = [
+    MoveRule { events: 3, gain: 1.8, moves: 3, long: false },
+    MoveRule { events: 20, gain: 1.22, moves: 0, long: true },
+    MoveRule { events: 30, gain: 1.22, moves: 0, long: false },
+];
 
 impl Run {
     fn may_move(&self) -> bool {
-        self.events >= PACE_KNOWN
+        MOVE_RULES.iter().any(|rule| self.events >= rule.events)
     }
 
     /// Whether a server with a free slot is faster by enough.
@@ -138,10 +150,17 @@
         if job.loads(now, named, backends, &other) {
             return false;
         }
-        let pace = |id: &str| backends.service_time(now, id).unwrap_or_default();
-        let saved = pace(&self.server).saturating_sub(pace(&other)) * job.events_left(self.sample);
+        let pace = |id: &str| backends.service_time(now, id).unwrap_or_default().as_secs_f64();
+        let gain = pace(&self.server) / pace(&other).max(f64::EPSILON);
         let moves = job.samples[self.sample].moves;
-        other != self.server && saved >= LEAST_SAVED && moves < MAX_MOVES
+        let long = job.spec.samples[self.sample].expected_tokens >= job.long_estimate;
+        let fits = |rule: &MoveRule| {
+            self.events >= rule.events
+                && gain >= rule.gain
+                && moves <= rule.moves
+                && (long || !rule.long)
+        };
+        other != self.server && MOVE_RULES.iter().any(fits)
     }
 }
 
@@ -192,15 +211,6 @@
 }
 
 impl Job {
-    /// Events that a sample is likely to make still. Lengths are heavy-tailed, so one that has
-    /// outrun its estimate goes on for as long again.
-    fn events_left(&self, index: usize) -> u32 {
-        let made = self.samples[index].text.events();
-        let expected = usize::try_from(self.spec.samples[index].expected_tokens);
-        let left = expected.unwrap_or(usize::MAX).saturating_sub(made).max(made);
-        u32::try_from(left).unwrap_or(u32::MAX)
-    }
-
     /// Whether a server is likely to load the newest version of the job's model.
     pub(super) fn loads(
         &self,
--- a/crates/core/tests/heavy_days.rs
+++ b/crates/core/tests/heavy_days.rs
@@ -46,6 +46,11 @@
 const LENGTH_SPREAD: f64 = 1.0;
 const ESTIMATE_SPREAD: f64 = 1.0;
 
+/// Estimates are in tokens, and an event holds several.
+const TOKENS_PER_EVENT: f64 = 10.0;
+/// Largest part by which an event comes sooner or later than the pace says.
+const JITTER: f64 = 0.2;
+
 impl Trainer {
     /// Groups that the trainer waits for.
     fn target(&self) -> usize {
@@ -115,7 +120,7 @@
         let mut samples = Vec::new();
         for index in 0..trainer.groups * trainer.group_size {
             let length = trainer.median * self.factor(LENGTH_SPREAD);
-            let estimate = length * self.factor(ESTIMATE_SPREAD);
+            let estimate = length * self.factor(ESTIMATE_SPREAD) * TOKENS_PER_EVENT;
             let most = trainer.longest as f64;
             lengths.push((length.clamp(1.0, most) as u64, None));
             samples.push(SampleSpec {
@@ -124,7 +129,7 @@
                 headers: Vec::new(),
                 body: Bytes::new(),
                 group: format!("g{}", index / trainer.group_size),
-                expected_tokens: estimate.clamp(1.0, most) as u64,
+                expected_tokens: estimate.clamp(1.0, most * TOKENS_PER_EVENT) as u64,
                 scorer: None,
             });
         }
@@ -189,8 +194,8 @@
         for id in due {
             let Some(run) = self.active.get_mut(&id) else { continue };
             run.made += 1;
-            run.next += run.pace;
-            let (made, at) = (run.made, run.next - run.pace);
+            let (made, at) = (run.made, run.next);
+            run.next += run.pace.mul_f64(1.0 + JITTER * (2.0 * self.rng.random::<f64>() - 1.0));
             let sample = &mut self.lengths.get_mut(&run.job).unwrap()[run.sample];
             let whole = made >= sample.0;
             assert!(self.jobs.on_event(at, &mut self.backends, id, made, Bytes::new(), None));
