A flood of comments ends a stream too

Cause: found while reading the change: a limit that has passed still lets through what is there already, so a server that always has bytes ready never met it. Ruled out: reading nothing more once the time has passed, as a paused process finds whole events then. Change: one frame is read after the limit; it must bring an event.

--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -173,12 +173,13 @@
     let mut buf = BytesMut::new();
     let mut progress = Progress::new(clock::now());
     loop {
+        // What came while the process was paused is read although its time has passed.
         let wait = progress.due().saturating_sub(clock::now());
         let frame = match timeout(wait, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(e))) => return fail(RunEnd::Broken, e),
             Ok(None) => break,
-            Err(_) => return fail(RunEnd::Broken, "no whole event in time"),
+            Err(_) => return stalled(),
         };
         let Ok(data) = frame.into_data() else { continue };
         buf.extend_from_slice(&data);
@@ -190,11 +191,15 @@
                 Err(Unreadable) => return fail(RunEnd::Broken, "an event cannot be read"),
             }
         }
-        if !events.is_empty() {
+        let events_came = events.len();
+        if events_came > 0 {
             progress.on_event(clock::now());
             events.iter().for_each(|_| pace.count());
             node.runner(move |runner, cx| runner.on_events(cx, run, events));
         }
+        if events_came == 0 && wait.is_zero() {
+            return stalled();
+        }
         if buf.len() > EVENT_BYTES {
             return fail(RunEnd::Broken, "an event is too large");
         }
@@ -205,6 +210,10 @@
     fail(RunEnd::Broken, "the stream ends within an event")
 }
 
+fn stalled<T>() -> Result<T, Failure> {
+    fail(RunEnd::Broken, "no whole event in time")
+}
+
 /// Takes the bytes of the next whole event, without the empty line that ends it.
 fn next_block(buf: &mut BytesMut) -> Option<Bytes> {
     let end = buf.windows(2).position(|pair| pair == b"\n\n")?;
