The duty calls servers in one place

ask_report and send_order made the same call and looked at its answer in the same way; one function does both now, and a variable of the settings' reload has the name of what it holds. No change of behaviour.

--- a/crates/daemon/src/hosted/duty.rs
+++ b/crates/daemon/src/hosted/duty.rs
@@ -16,10 +16,11 @@
     messages::{JobRow, Row, Txn, TxnAnswer},
 };
 use bytes::Bytes;
+use http::{Request, Response};
 use log::info;
 use stakker::{after, CX};
 
-use super::{clock, node::Node, rows};
+use super::{clock, http::Error, node::Node, rows};
 
 /// Name of the lease.
 const ROLE: &str = "weights";
@@ -189,12 +190,20 @@
     }
 }
 
+/// Calls a server, whose answer may say that it leaves.
+async fn call(
+    node: &Rc<Node>,
+    server: &Backend,
+    req: Request<Bytes>,
+) -> Result<Response<Bytes>, Error> {
+    let reply = node.servers.call(server.addr, req, CONNECT_LIMIT, ANSWER_LIMIT).await?;
+    node.on_reply(&server.id, server.started_ms, &reply);
+    Ok(reply)
+}
+
 async fn ask_report(node: &Rc<Node>, server: &Backend) -> Option<OrderReport> {
     let req = servers::ask_report(server);
-    let reply = node.servers.call(server.addr, req, CONNECT_LIMIT, ANSWER_LIMIT).await;
-    if let Ok(reply) = &reply {
-        node.on_reply(&server.id, server.started_ms, reply);
-    }
+    let reply = call(node, server, req).await;
     let report = match &reply {
         Ok(reply) => servers::report(reply).unwrap_or_default(),
         Err(_) => None,
@@ -206,10 +215,7 @@
 
 async fn send_order(node: &Rc<Node>, server: &Backend, order: &Order) -> OrderEnd {
     let req = servers::order(server, &node.settings().host, order);
-    let reply = node.servers.call(server.addr, req, CONNECT_LIMIT, ANSWER_LIMIT).await;
-    if let Ok(reply) = &reply {
-        node.on_reply(&server.id, server.started_ms, reply);
-    }
+    let reply = call(node, server, req).await;
     let end = servers::order_end(reply.as_ref().ok());
     info!(server = server.id.as_str(), model = order.model.as_str(), version = order.version,
         accepted = order.accepted, fence = order.fence, outcome:? = end; "weights_ordered");
--- a/crates/daemon/src/hosted/reload.rs
+++ b/crates/daemon/src/hosted/reload.rs
@@ -53,7 +53,7 @@
 
 /// The settings in force after a change, and the names of those that wait for the next start.
 fn merged(current: &NodeSettings, next: NodeSettings) -> (NodeSettings, Vec<&'static str>) {
-    let fixed = NodeSettings {
+    let in_force = NodeSettings {
         seeds: next.seeds.clone(),
         store: next.store,
         row_bytes: next.row_bytes,
@@ -75,5 +75,5 @@
         ("metrics", current.metrics != next.metrics),
     ];
     let left = waits.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name);
-    (fixed, left.collect())
+    (in_force, left.collect())
 }
