A new holder of the duty orders servers without a recent order at once

Ruled out: catching up as such (steps took 4 to 5 s before and after), the plan, slow servers, store calls.

Change: a host takes the lease back at once from its own earlier start; orders are recorded in the store before they are sent where servers check no fencing numbers, so that a new holder waits at just the servers that another host ordered lately.

Without the wait the check of the time between orders fails.

--- a/crates/core/src/weights.rs
+++ b/crates/core/src/weights.rs
@@ -5,13 +5,17 @@
 //! ones, has no effect.
 
 mod plan;
+mod turns;
 
 use std::{collections::BTreeMap, time::Duration};
 
 use buckthornfall_proto::ids::{Fence, ServerId, WeightVersion};
 use rustc_hash::FxHashMap;
 
-pub use self::plan::{Demand, Plan};
+pub use self::{
+    plan::{Demand, Plan},
+    turns::{Recorded, Turns, ORDER_ARRIVES},
+};
 use crate::{
     backends::{Backend, Backends, HeldModel},
     Now,
@@ -139,6 +143,8 @@
     demand: Demand,
     /// Fencing number that a server refused; nothing is ordered under it any more.
     refused: Fence,
+    /// Which servers the holder may order.
+    pub turns: Turns,
 }
 
 impl Weights {
@@ -193,7 +199,8 @@
             }
             let most = (self.plan.servers(&model).len() / MODEL_SHARE).max(1);
             let serves_enough = !useful || self.loads(Some(&model)) < most;
-            if self.work.contains_key(&server) || !serves_enough {
+            let may_order = self.turns.may_order(now, &server);
+            if self.work.contains_key(&server) || !serves_enough || !may_order {
                 continue;
             }
             let work = Work { model, version, step: Step::Asked, until: now + ANSWER_TIMEOUT };
--- a/crates/daemon/src/hosted/duty.rs
+++ b/crates/daemon/src/hosted/duty.rs
@@ -7,18 +7,20 @@
     lease::{Lease, LeaseAction, LeaseTimes},
     store::{RowKey, StoreFailure, StoreTx, StoredRow, TxEnd},
     table::{ReadResult, TableError, TxnResult},
-    weights::{Order, OrderEnd, OrderReport, Plan, WeightAction, Weights},
+    weights::{Order, OrderEnd, OrderReport, Plan, Recorded, WeightAction, Weights},
     Now,
 };
 use buckthornfall_platform::servers;
 use buckthornfall_proto::{
-    ids::Fence,
-    messages::{JobRow, Row, Txn, TxnAnswer},
+    ids::{Fence, HostId, ServerId},
+    messages::{JobRow, OrderRow, Row, Txn, TxnAnswer},
 };
 use bytes::Bytes;
 use http::{Request, Response};
 use log::info;
+use rustc_hash::FxHashMap;
 use stakker::{after, CX};
+use tokio::time::sleep;
 
 use super::{clock, http::Error, node::Node, rows};
 
@@ -32,6 +34,15 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(900);
 /// Longest wait for a connection to a server.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time between the record of an order and its start: with `CONNECT_LIMIT` and the way, it
+/// arrives within `weights::ORDER_ARRIVES`.
+const RECORD_VALID: Duration = Duration::from_millis(400);
+/// Age after which the record of an order is removed.
+const RECORD_KEPT: Duration = Duration::from_secs(60);
+/// Most records that one transaction removes, a bound of the store.
+const MAX_REMOVED: usize = 100;
+/// Pause before the records are read again.
+const READ_PAUSE: Duration = Duration::from_millis(150);
 /// A holder that stops acting this long before its term ends leaves its last order time to arrive.
 const LEASE_TIMES: LeaseTimes = LeaseTimes {
     term: Duration::from_millis(2_200),
@@ -43,19 +54,23 @@
 /// The duty, and this daemon's view of its lease.
 pub struct Duty {
     node: Rc<Node>,
+    /// Name of this host for other holders; no two processes with it live at the same time.
+    host: HostId,
     lease: Lease,
     weights: Weights,
-    /// Fencing number of the term, with when this daemon first saw that it has it.
-    term: Option<(Fence, Now)>,
+    /// Fencing number of the term.
+    term: Option<Fence>,
 }
 
 impl Duty {
     pub fn init(cx: CX![], node: Rc<Node>) -> Option<Duty> {
+        // A host that replaces another one may take over its name, but not its address.
+        let host = format!("{}@{}", node.settings().host, node.settings().front);
         // A new start of a process is another holder.
-        let holder = format!("{}/{:x}", node.settings().host, rand::random::<u64>());
-        let lease = Lease::new(ROLE, &holder, LEASE_TIMES);
+        let holder = format!("{host}/{:x}", rand::random::<u64>());
+        let lease = Lease::new(ROLE, &holder, LEASE_TIMES).with_process(&format!("{host}/"));
         after!(TICK, [cx], tick());
-        Some(Duty { node, lease, weights: Weights::default(), term: None })
+        Some(Duty { node, host, lease, weights: Weights::default(), term: None })
     }
 
     pub fn on_named(&mut self, _: CX![], model: &str, version: u64) {
@@ -92,21 +107,40 @@
 
     /// The fencing number under which orders may be sent now.
     fn fence(&mut self) -> Option<Fence> {
-        let now = clock::now();
-        let fence = self.lease.fence(now);
-        if fence != self.term.map(|(fence, _)| fence) {
+        let fence = self.lease.fence(clock::now());
+        if fence != self.term {
             metrics::gauge!("weights_lease_held").set(if fence.is_some() { 1.0 } else { 0.0 });
-            info!(fence:? = fence, last:? = self.term.map(|(fence, _)| fence); "duty_term");
-            self.term = fence.map(|fence| (fence, now));
+            info!(fence:? = fence, last:? = self.term; "duty_term");
+            self.term = fence;
             self.weights.stop();
+            if let Some(fence) = fence {
+                self.begin_term(fence);
+            }
         }
-        let (fence, since) = self.term?;
-        // The last holder may have sent an order just before this term began; servers that check
-        // fencing numbers refuse what comes after an order of this term.
+        fence.filter(|fence| self.weights.may_order(*fence))
+    }
+
+    fn begin_term(&mut self, fence: Fence) {
         let settings = self.node.settings();
         let wait = if settings.servers_check_fences { Duration::ZERO } else { settings.lease };
-        let waited = fence == 1 || now.saturating_sub(since) >= wait;
-        (waited && self.weights.may_order(fence)).then_some(fence)
+        self.weights.turns.begin(clock::now(), &self.host, wait);
+        if !self.weights.turns.are_recorded() {
+            return;
+        }
+        let node = Rc::clone(&self.node);
+        tokio::task::spawn_local(async move {
+            let records = loop {
+                if let Some(records) = read_records(&node).await {
+                    break records;
+                }
+                sleep(READ_PAUSE).await;
+            };
+            node.duty(move |duty, _| {
+                if duty.term == Some(fence) {
+                    duty.weights.turns.on_read(records);
+                }
+            });
+        });
     }
 
     fn advance(&mut self) {
@@ -128,9 +162,16 @@
             WeightAction::AskReport { server } => {
                 let entry = node.backends.borrow().get(&server).cloned();
                 let Some(entry) = entry else { return };
+                let turns = &self.weights.turns;
+                let version = turns.are_recorded().then(|| turns.version(&server));
+                let host = self.host.clone();
                 tokio::task::spawn_local(async move {
-                    let report = ask_report(&node, &entry).await;
-                    node.duty(move |duty, cx| duty.on_report(cx, &entry.id, report.as_ref()));
+                    let record = async {
+                        let version = version?;
+                        Some(record_order(&node, &entry.id, host, version).await)
+                    };
+                    let (report, record) = tokio::join!(ask_report(&node, &entry), record);
+                    node.duty(move |duty, _| duty.on_report(&entry.id, report, record));
                 });
             }
             WeightAction::Send { server, order } => {
@@ -151,10 +192,17 @@
         }
     }
 
-    fn on_report(&mut self, _: CX![], server: &str, report: Option<&OrderReport>) {
+    /// Takes a server's report and the record of the order that follows, if one is needed.
+    fn on_report(&mut self, server: &str, report: Option<OrderReport>, record: Option<Record>) {
+        let now = clock::now();
+        let is_recorded = record.as_ref().is_none_or(|record| record.allows(now, &self.host));
+        if let Some(found) = record.and_then(|record| record.found) {
+            self.weights.turns.on_record(server, found);
+        }
         let fence = self.fence();
+        let report = report.filter(|_| is_recorded);
         let mut out = Vec::new();
-        self.weights.on_report(clock::now(), fence, server, report, &mut out);
+        self.weights.on_report(now, fence, server, report.as_ref(), &mut out);
         if let Some(fence) = fence {
             out.into_iter().for_each(|action| self.act(fence, action));
         }
@@ -222,6 +270,73 @@
     end
 }
 
+/// The outcome of recording an order.
+struct Record {
+    /// When it began.
+    began: Now,
+    /// The record that stands in the store now, if that is known.
+    found: Option<Recorded>,
+}
+
+impl Record {
+    /// Whether `host` may send the order at `now`.
+    fn allows(&self, now: Now, host: &str) -> bool {
+        let recorded =
+            self.found.as_ref().is_some_and(|found| found.host == host && found.at == self.began);
+        recorded && now.saturating_sub(self.began) <= RECORD_VALID
+    }
+}
+
+/// Records an order to a server whose record has `version`.
+async fn record_order(node: &Node, server: &str, host: HostId, version: u64) -> Record {
+    let began = clock::now();
+    let key = RowKey::new(rows::ORDERS, "", server);
+    let row = OrderRow { host: host.clone(), at_ms: node.store.clock_ms() };
+    let tx = StoreTx::replace(key.clone(), version, rows::encode(&row));
+    let found = match node.store.transact(&tx).await {
+        TxEnd::Committed(version) => Some(Recorded { host, at: began, version }),
+        TxEnd::Conflict(found) => {
+            let found = found.iter().find(|found| found.key == key);
+            found.and_then(|found| recorded(node, found))
+        }
+        TxEnd::Failed(_) => None,
+    };
+    if found.as_ref().is_none_or(|found| found.at != began) {
+        info!(server, version, found:? = found; "order_not_recorded");
+    }
+    Record { began, found }
+}
+
+/// The records of all orders; those that are over are removed.
+async fn read_records(node: &Node) -> Option<FxHashMap<ServerId, Recorded>> {
+    let page = node.store.rows(&RowKey::new(rows::ORDERS, "", ""), None).await?;
+    let now = clock::now();
+    let mut records = FxHashMap::default();
+    let mut over = Vec::new();
+    for row in &page.rows {
+        match recorded(node, row) {
+            Some(record) if now.saturating_sub(record.at) < RECORD_KEPT => {
+                records.insert(row.key.key.clone(), record);
+            }
+            _ => over.push(row),
+        }
+    }
+    info!(records = records.len(), over = over.len(); "orders_read");
+    for over in over.chunks(MAX_REMOVED / 2) {
+        let expected = over.iter().map(|row| (row.key.clone(), row.version)).collect();
+        let remove = over.iter().map(|row| row.key.clone()).collect();
+        let end = node.store.transact(&StoreTx { expected, put: Vec::new(), remove }).await;
+        info!(rows = over.len(), outcome:? = end; "order_records_removed");
+    }
+    Some(records)
+}
+
+/// The record in a row; `None` if it was removed or cannot be read.
+fn recorded(node: &Node, row: &StoredRow) -> Option<Recorded> {
+    let OrderRow { host, at_ms } = rows::decode(row)?;
+    Some(Recorded { host, at: node.store.local(at_ms), version: row.version })
+}
+
 async fn save_plan(node: &Node, plan: &Plan) {
     let value = rows::encode(&plan.to_row());
     let key = RowKey::new(rows::FLEET, "", rows::PLAN);
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -13,6 +13,8 @@
 pub const RESULTS: &str = "results";
 /// Table of what is saved of unfinished samples, a partition a job.
 pub const PROGRESS: &str = "progress";
+/// Table of the last orders to servers, a row a server; only holders of the duty read it.
+pub const ORDERS: &str = "orders";
 /// Start of the keys of daemons.
 pub const MEMBER: &str = "member/";
 /// Start of the keys of jobs.
