A slow reply does not set the estimate of the store's clock back

Cause: the record of an order is written with the writer's estimate of the store's clock, which was the newest reading. A reading that was under way for long (a slow store) is that much behind, so a later holder of the duty would wait too short by up to the time of a reply.

Change: of the readings of the last 30 to 60 s the one furthest ahead counts.

Tests: a slow reply after a fast one (by the newest reading the clock would be 900 ms behind), a drift of a thousandth over 1,000 s (at most 60 ms).

--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -1,7 +1,11 @@
 //! Rows of the platform's store, as the daemon reads and writes them.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 
+use crate::Now;
+
 /// Version of a row, from one counter of the whole store; 0 means that the row is absent.
 pub type RowVersion = u64;
 
@@ -106,3 +110,63 @@
     /// The call has no result.
     Failed,
 }
+
+/// The store's clock, as its replies show it.
+///
+/// A reply arrives some time after the clock was read, so of several readings the one that is
+/// furthest ahead is the closest to the truth.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StoreClock {
+    /// Closest readings of this window and of the one before.
+    closest: [Option<Reading>; 2],
+    /// Start of this window.
+    since: Now,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    clock_ms: u64,
+    /// When it arrived.
+    at: Now,
+}
+
+/// Time after which an old reading is dropped, so that the drift of the two clocks does not add up.
+const WINDOW: Duration = Duration::from_secs(30);
+
+impl Reading {
+    fn extrapolated(self, now: Now) -> u64 {
+        let since = u64::try_from(now.saturating_sub(self.at).as_millis()).unwrap_or_default();
+        self.clock_ms + since
+    }
+}
+
+impl StoreClock {
+    /// Takes the reading of a reply that arrived at `now`, in milliseconds.
+    pub fn on_reply(&mut self, now: Now, clock_ms: u64) {
+        if now.saturating_sub(self.since) >= WINDOW {
+            self.closest = [None, self.closest[0]];
+            self.since = now;
+        }
+        let closest = self.closest[0].map_or(0, |reading| reading.extrapolated(now));
+        if clock_ms >= closest {
+            self.closest[0] = Some(Reading { clock_ms, at: now });
+        }
+    }
+
+    /// The store's clock at `now`, in milliseconds; 0 before the first reply.
+    pub fn ms(&self, now: Now) -> u64 {
+        let readings = self.closest.iter().flatten();
+        readings.map(|reading| reading.extrapolated(now)).max().unwrap_or_default()
+    }
+
+    /// The local time of a reading of the store's clock.
+    pub fn local(&self, now: Now, clock_ms: u64) -> Now {
+        let own = self.ms(now);
+        let distance = Duration::from_millis(own.abs_diff(clock_ms));
+        if clock_ms < own {
+            now.saturating_sub(distance)
+        } else {
+            now + distance
+        }
+    }
+}
--- a/crates/core/tests/views.rs
+++ b/crates/core/tests/views.rs
@@ -8,6 +8,7 @@
     members::Members,
     progress::{Progress, EVENT_LIMIT},
     readiness::{Readiness, Table},
+    store::StoreClock,
     Now,
 };
 use buckthornfall_proto::messages::{MemberRow, MemberState};
@@ -352,3 +353,30 @@
     let entry = backends.choose(NOW, want, |entry| entry.id == "s1");
     assert_eq!(entry.map(|entry| entry.id.as_str()), Some("s2"));
 }
+
+#[test]
+fn a_slow_reply_does_not_set_the_stores_clock_back() {
+    let mut clock = StoreClock::default();
+    assert_eq!(clock.ms(NOW), 0);
+    clock.on_reply(NOW, 5_000);
+    // Read 900 ms before it arrived.
+    clock.on_reply(NOW + Duration::from_secs(1), 5_100);
+    assert_eq!(clock.ms(NOW + Duration::from_secs(2)), 7_000);
+    assert_eq!(clock.local(NOW + Duration::from_secs(2), 4_500), NOW - Duration::from_millis(500));
+    assert_eq!(
+        clock.local(NOW + Duration::from_secs(2), 8_000),
+        NOW + Duration::from_secs(3),
+        "another daemon's clock may be ahead"
+    );
+}
+
+#[test]
+fn the_drift_of_clocks_does_not_add_up() {
+    let mut clock = StoreClock::default();
+    // The store's clock is slower by a thousandth.
+    for second in 0..1_000 {
+        clock.on_reply(NOW + Duration::from_secs(second), 5_000 + second * 999);
+    }
+    let error = clock.ms(NOW + Duration::from_secs(999)) - (5_000 + 999 * 999);
+    assert!(error <= 60, "{error} ms");
+}
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -8,7 +8,7 @@
 
 use buckthornfall_core::{
     relay::{Change, PeerAddress, Relay},
-    store::{FeedEnd, RowKey, RowPage, RowVersion, StoreFailure, StoreTx, StoredRow, TxEnd},
+    store::{FeedEnd, RowKey, RowPage, RowVersion, StoreClock, StoreFailure, StoreTx, StoredRow, TxEnd},
     Now,
 };
 use buckthornfall_platform::store as wire;
@@ -47,8 +47,7 @@
     /// Start of the time in which all calls went well.
     steady_since: Cell<Now>,
     lost: Cell<bool>,
-    /// The store's clock, with when it was read here.
-    clock: Cell<Option<(u64, Now)>>,
+    clock: Cell<StoreClock>,
     last_error: RefCell<String>,
     relay: RefCell<Relay>,
     /// Connections to daemons that make calls for this one.
@@ -65,7 +64,7 @@
             last_good: Cell::new(Now::ZERO),
             steady_since: Cell::new(Now::ZERO),
             lost: Cell::new(true),
-            clock: Cell::new(None),
+            clock: Cell::default(),
             last_error: RefCell::default(),
             relay: RefCell::default(),
             peers: Connections::default(),
@@ -95,21 +94,18 @@
 
     /// The store's clock now, in milliseconds; 0 until it answered.
     pub fn clock_ms(&self) -> u64 {
-        let Some((ms, at)) = self.clock.get() else { return 0 };
-        let since = clock::now().saturating_sub(at).as_millis();
-        ms + u64::try_from(since).unwrap_or_default()
+        self.clock.get().ms(clock::now())
     }
 
     /// The local time of a reading of the store's clock.
     pub fn local(&self, clock_ms: u64) -> Now {
-        let ahead = clock_ms as i128 - i128::from(self.clock_ms());
-        let millis = u64::try_from(ahead.unsigned_abs()).unwrap_or(u64::MAX);
-        let distance = Duration::from_millis(millis);
-        if ahead < 0 {
-            clock::now().saturating_sub(distance)
-        } else {
-            clock::now() + distance
-        }
+        self.clock.get().local(clock::now(), clock_ms)
+    }
+
+    fn on_clock(&self, clock_ms: u64) {
+        let mut clock = self.clock.get();
+        clock.on_reply(clock::now(), clock_ms);
+        self.clock.set(clock);
     }
 
     /// Runs a transaction.
@@ -149,7 +145,7 @@
         });
         self.note(page.is_some(), "read");
         if let Some(page) = &page {
-            self.clock.set(Some((page.clock_ms, clock::now())));
+            self.on_clock(page.clock_ms);
         }
         page
     }
@@ -169,7 +165,7 @@
         let end = reply.map_or(FeedEnd::Failed, |reply| wire::feed_end(&reply));
         self.note(!matches!(end, FeedEnd::Failed), "feed");
         if let FeedEnd::Changes(page) = &end {
-            self.clock.set(Some((page.clock_ms, clock::now())));
+            self.on_clock(page.clock_ms);
         }
         end
     }
