A server that fails what it runs gets one request at a time until one succeeds

Cause: a failure of its own (500) counted as an answer, so a server that fails at once had free slots and a short service time, and got run after run.

Change: from the second failure in a row on the server is paused as after no answer, and then gets one request as a trial. A server's own time limit (504) is not a failure of this kind. Holds for samples, scores and callers' requests.

--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -54,6 +54,8 @@
     Answered(Duration),
     /// The server answered; `observe` has learned from it.
     Done,
+    /// The server ran the request and answered with a failure of its own.
+    Erred,
     /// The server refused the request and did not run it.
     Refused,
     /// The server refused the request because it loads other weights.
@@ -68,6 +70,9 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause of a server that keeps failing.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_secs(4);
+/// Failures of its own, without a success in between, from which a server counts as faulty: single
+/// requests fail at every server.
+const FAULTY_ERRORS: u32 = 2;
 /// Pause after a refusal: about the time in which a slot becomes free or a load goes on.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(120);
 /// Longest pause of a server that loads weights; its entry shows the end of the load.
@@ -92,6 +97,8 @@
     inflight: u32,
     /// Failures without an answer in between.
     failures: u32,
+    /// Failures of its own that it answered with, without a success in between.
+    errors: u32,
     paused_until: Now,
     /// Until when it is taken to load weights.
     loading_until: Now,
@@ -107,6 +114,7 @@
             entry,
             inflight: 0,
             failures: 0,
+            errors: 0,
             paused_until: Now::ZERO,
             loading_until: Now::ZERO,
             learned: None,
@@ -114,6 +122,16 @@
         }
     }
 
+    fn is_faulty(&self) -> bool {
+        self.errors >= FAULTY_ERRORS
+    }
+
+    /// Pauses the server after its `count`th failure in a row.
+    fn pause(&mut self, now: Now, count: u32) {
+        let pause = FAILURE_PAUSE * 2u32.pow(count.saturating_sub(1).min(4));
+        self.paused_until = now + pause.min(FAILURE_PAUSE_MAX);
+    }
+
     fn learn(&mut self, now: Now, took: Duration, rate: f64) {
         let took = took.as_secs_f64();
         let last = self.learned(now).unwrap_or(took);
@@ -279,6 +297,14 @@
         self.servers.get(id).map_or(0, |known| known.inflight)
     }
 
+    /// Requests that a server may be given at once: one, as a trial, while it counts as faulty.
+    pub fn capacity(&self, id: &str) -> u32 {
+        self.servers.get(id).map_or(0, |known| match known.is_faulty() {
+            true => known.entry.slots.min(1),
+            false => known.entry.slots,
+        })
+    }
+
     /// Learned service time of a server, or the mean of its service while it has none.
     pub fn service_time(&self, now: Now, id: &str) -> Option<Duration> {
         let known = self.servers.get(id)?;
@@ -349,16 +375,25 @@
             Ended::Answered(took) => {
                 known.learn(now, took, LEARNING_RATE);
                 known.failures = 0;
+                known.errors = 0;
                 known.paused_until = Now::ZERO;
             }
             Ended::Refused => known.paused_until = known.paused_until.max(now + REFUSAL_PAUSE),
             Ended::Loading => known.loading_until = now + LOAD_PAUSE,
             Ended::Failed => {
-                let pause = FAILURE_PAUSE * 2u32.pow(known.failures.min(4));
                 known.failures += 1;
-                known.paused_until = now + pause.min(FAILURE_PAUSE_MAX);
+                known.pause(now, known.failures);
+            }
+            Ended::Erred => {
+                known.errors += 1;
+                if known.is_faulty() {
+                    known.pause(now, known.errors + 1 - FAULTY_ERRORS);
+                }
+            }
+            Ended::Done => {
+                known.failures = 0;
+                known.errors = 0;
             }
-            Ended::Done => known.failures = 0,
             Ended::Cancelled => {}
         }
     }
--- a/crates/core/src/job/runs.rs
+++ b/crates/core/src/job/runs.rs
@@ -187,10 +187,7 @@
     } else {
         planned
     };
-    let free = |id: &ServerId| {
-        let slots = backends.get(id).map_or(0, |entry| entry.slots);
-        backends.inflight(id) < slots
-    };
+    let free = |id: &ServerId| backends.inflight(id) < backends.capacity(id);
     let cost = |id: &ServerId| {
         let slots = backends.get(id).map_or(1, |entry| entry.slots.max(1));
         let load = f64::from(backends.inflight(id)) / f64::from(slots);
@@ -227,7 +224,8 @@
 
 pub(super) fn server_end(end: &RunEnd) -> Ended {
     match end {
-        RunEnd::Complete | RunEnd::Failed | RunEnd::Impossible => Ended::Done,
+        RunEnd::Complete | RunEnd::Impossible => Ended::Done,
+        RunEnd::Failed => Ended::Erred,
         RunEnd::Broken => Ended::Failed,
         RunEnd::Refused => Ended::Refused,
     }
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -486,3 +486,39 @@
     });
     servers.collect()
 }
+
+/// A server that answers each run with a failure is free at once, so a choice by load alone gives it
+/// run after run, until samples have failed as often as they may.
+#[test]
+fn a_server_that_fails_all_runs_costs_no_sample() {
+    let mut world = World::new(&[("s1", 1), ("s2", 1), ("s3", 1), ("s4", 1)]);
+    world.open("j", spec(1, (0..60).map(|n| sample(&format!("a{n:02}"), "g", 10)).collect()));
+    let mut running: Vec<(u64, RunId, String)> = Vec::new();
+    let mut gave_up = 0;
+    for tick in 0..1_500 {
+        let mut actions = world.after(10);
+        let (due, later) = running.into_iter().partition(|(until, ..)| *until <= tick);
+        running = later;
+        for (_, run, server) in due {
+            let failed = server == "s3";
+            let end = if failed { RunEnd::Failed } else { RunEnd::Complete };
+            actions.extend(world.end(run, &end));
+        }
+        for action in actions {
+            match action {
+                JobAction::Run { run, server, .. } => {
+                    let took = if server == "s3" { 1 } else { 50 };
+                    running.push((tick + took, run, server));
+                }
+                JobAction::GaveUp { .. } => gave_up += 1,
+                JobAction::Append { .. } => {
+                    let mut out = Vec::new();
+                    world.jobs.on_appended(world.now, "j", AppendEnd::Done, &mut out);
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!(running.is_empty(), "all samples are whole");
+    assert_eq!(gave_up, 0);
+}
--- a/crates/core/tests/views.rs
+++ b/crates/core/tests/views.rs
@@ -380,3 +380,29 @@
     let error = clock.ms(NOW + Duration::from_secs(999)) - (5_000 + 999 * 999);
     assert!(error <= 60, "{error} ms");
 }
+
+#[test]
+fn a_server_that_fails_what_it_runs_gets_one_request_at_a_time_until_one_succeeds() {
+    let mut backends = Backends::default();
+    backends.upsert(backend("s1", 1));
+    backends.started("s1");
+    backends.ended(NOW, "s1", Ended::Erred);
+    assert!(backends.usable(NOW, "s1"), "one request may fail at every server");
+    assert_eq!(backends.capacity("s1"), 6);
+
+    backends.started("s1");
+    backends.ended(NOW, "s1", Ended::Erred);
+    assert!(!backends.usable(NOW, "s1"));
+    let later = NOW + Duration::from_millis(450);
+    assert!(backends.usable(later, "s1"));
+    assert_eq!(backends.capacity("s1"), 1, "a trial");
+    backends.started("s1");
+    backends.ended(later, "s1", Ended::Erred);
+    assert!(!backends.usable(later + Duration::from_millis(450), "s1"), "pauses grow");
+
+    let last = later + Duration::from_secs(1);
+    backends.started("s1");
+    backends.ended(last, "s1", Ended::Done);
+    assert!(backends.usable(last, "s1"));
+    assert_eq!(backends.capacity("s1"), 6);
+}
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -288,16 +288,19 @@
         reply.headers_mut().remove(name);
     });
     let (head, body) = reply.into_parts();
+    let failed = status.is_server_error();
+    // At its time limit a sound server gives up as well.
+    let erred = failed && status != StatusCode::GATEWAY_TIMEOUT;
     let body = match body {
         Received::Whole(body) => {
             node.servers.put(conn);
-            guard.end(Ended::Answered(took));
+            guard.end(if erred { Ended::Erred } else { Ended::Answered(took) });
             AnswerBody::whole(body)
         }
         Received::Streaming(body) => AnswerBody::relay(guard.relay(body, conn)),
     };
     let reply = Response::from_parts(head, body);
-    if status.is_server_error() && route.kind == RouteKind::Idempotent {
+    if failed && route.kind == RouteKind::Idempotent {
         let reason = format!("failed with {}", status.as_u16());
         return Try::Failed(Failure { reason, answer: Some(reply), crashed: false });
     }
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -85,7 +85,7 @@
             ScoreEnd::Scored(proof.to_owned())
         }
         (_, StatusCode::INTERNAL_SERVER_ERROR) if echoed => {
-            ended(Ended::Answered(took));
+            ended(Ended::Erred);
             ScoreEnd::Failed { most }
         }
         _ => {
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -8,7 +8,9 @@
 
 use buckthornfall_core::{
     relay::{Change, PeerAddress, Relay},
-    store::{FeedEnd, RowKey, RowPage, RowVersion, StoreClock, StoreFailure, StoreTx, StoredRow, TxEnd},
+    store::{
+        FeedEnd, RowKey, RowPage, RowVersion, StoreClock, StoreFailure, StoreTx, StoredRow, TxEnd,
+    },
     Now,
 };
 use buckthornfall_platform::store as wire;
