bench fleet: a closed loop in virtual time

Trainers ask for step k once version k is named, wait for their groups, train and name the next, so what is late makes the next step late; heavy_days sends jobs at fixed times and cannot show that. Jobs, Backends, Lease, Weights and Turns are those of the daemons; servers slow down with their batch, load weights, fail and crash; the store goes away; daemons and the holder of the duty are killed.

Not in it: callers of plain services, carried groups, relayed calls, a plot.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 //! and callers, with the baselines that the decision logic keeps.
 
 mod engine;
+pub mod fleet;
 mod report;
 mod scenario;
 mod simulation;
--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -1,6 +1,8 @@
 //! Benches for people: policies in virtual time, and a load through one daemon.
 
 use std::{
+    fs,
+    path::PathBuf,
     sync::{
         atomic::{AtomicU64, Ordering},
         Arc,
@@ -9,16 +11,21 @@
     time::{Duration, Instant},
 };
 
-use buckthornfall_bench::{compare, Comparison, Scenario};
+use buckthornfall_bench::{
+    compare,
+    fleet::{self, Experiment, FleetReport},
+    Comparison, Scenario,
+};
 use buckthornfall_client::http::{Http, HttpOptions};
 use buckthornfall_proto::messages::{CallerCompletion, CompletionChunk, CompletionRequest};
 use buckthornfall_standins::engine::Latency;
 use clap::ArgMatches;
 use serde::Serialize;
+use snafu::ResultExt;
 
 use crate::{
     demo::{self, deployment::Deployment, DemoOptions},
-    error::Result,
+    error::{self, Error, Result},
     options::Options,
     output,
 };
@@ -32,6 +39,7 @@
 pub fn run(options: &Options, matches: &ArgMatches) -> Result<()> {
     match matches.subcommand() {
         Some(("load", sub)) => load(options, sub),
+        Some(("fleet", sub)) => fleet(options, sub),
         _ => policy(options),
     }
 }
@@ -43,6 +51,42 @@
     Ok(())
 }
 
+fn fleet(options: &Options, matches: &ArgMatches) -> Result<()> {
+    let path: &PathBuf = matches.get_one("file").expect("the argument is required");
+    let invalid = |path: &PathBuf, message: String| Error::Document { path: path.clone(), message };
+    let experiment =
+        Experiment::from_json(&read(path)?).map_err(|e| invalid(path, e.to_string()))?;
+    let old: Option<FleetReport> = match matches.get_one::<PathBuf>("compare") {
+        Some(path) => {
+            let old = serde_json::from_str(&read(path)?);
+            Some(old.map_err(|e| invalid(path, e.to_string()))?)
+        }
+        None => None,
+    };
+    let seeds = *matches.get_one("seeds").expect("the argument has a default");
+    let threads = thread::available_parallelism().map_or(1, usize::from);
+    let report = fleet::play(&experiment, seeds, threads, |done| output::progress(done, seeds));
+    output::result(options.format, &report, FleetReport::describe);
+    if let Some(old) = old {
+        let difference = report.difference(&old).ok_or_else(|| {
+            let path = matches.get_one::<PathBuf>("compare").expect("it was read");
+            invalid(path, "it is of another experiment or of other seeds".to_owned())
+        })?;
+        output::note(&format!(
+            "groups on time: {:+.4} ±{:.4} on the older result",
+            difference.mean, difference.half
+        ));
+    }
+    match report.broken.len() {
+        0 => Ok(()),
+        count => Err(Error::PromiseBroken { count }),
+    }
+}
+
+fn read(path: &PathBuf) -> Result<String> {
+    fs::read_to_string(path).context(error::ReadSnafu { path })
+}
+
 /// One load.
 #[derive(Debug, Serialize)]
 struct LoadResult {
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -255,6 +255,36 @@
                 .default_value("32")
                 .help("Requests at the same time"),
         );
+    let fleet = Command::new("fleet")
+        .about("Play an experiment many times in virtual time, with trainers that fall behind")
+        .long_about(
+            "Play an experiment many times in virtual time, with trainers that fall behind.\n\n\
+             The decisions are those of the daemons; trainers, servers and the store are models. \
+             The result has 95% intervals over the seeds. With --compare, the difference from an \
+             older result (written with --format json) is shown, seed by seed.",
+        )
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .required(true)
+                .help("The experiment, like examples/fleet-outage.json"),
+        )
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_name("COUNT")
+                .value_parser(value_parser!(u64).range(1..=100_000))
+                .default_value("200")
+                .help("Days to play, one a seed"),
+        )
+        .arg(
+            Arg::new("compare")
+                .long("compare")
+                .value_name("OLD.json")
+                .value_parser(value_parser!(PathBuf))
+                .help("An older result of the same experiment and seeds"),
+        );
     Command::new("bench")
         .about("Benches for people")
         .subcommand_required(true)
@@ -263,6 +293,7 @@
             Command::new("policy").about("Compare policies in virtual time; takes about a minute"),
         )
         .subcommand(load)
+        .subcommand(fleet)
 }
 
 fn demo() -> Command {
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -394,12 +394,15 @@
     }
 }
 
+/// Something that takes the holder away.
+type Loss = fn(&mut Day);
+
 /// The loss of the holder in the middle of a change of version, as it comes on the heaviest days: a
 /// trainer waits for the next version, and each second without orders is one that it is behind.
 #[test]
 fn servers_load_on_after_the_loss_of_the_holder() {
     // A holder that is back after half a second; one that stays away; a planned stop.
-    let losses: [(&str, fn(&mut Day)); 3] = [
+    let losses: [(&str, Loss); 3] = [
         ("back after 0.5 s", |day| {
             let holder = day.holder().expect("a calm store");
             day.kill(holder, Duration::from_millis(500));
