--- a/crates/bench/src/fleet/report.rs
+++ b/crates/bench/src/fleet/report.rs
@@ -177,6 +177,14 @@
         alike.then(|| Mean::of(&differences))
     }
 
+    /// The difference as a line.
+    pub fn describe_difference(difference: Mean) -> String {
+        let Mean { mean, half } = difference;
+        // Adding zero turns a negative zero, which numbers read back from text lead to, into zero.
+        let mean = (mean * 10_000.0).round() / 10_000.0 + 0.0;
+        format!("groups on time: {mean:+.4} ±{half:.4} on the older result")
+    }
+
     /// The report as a table.
     pub fn describe(&self) -> String {
         let mut text = format!("{}, {} days\n", self.experiment, self.seeds.len());
--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench.rs
@@ -72,10 +72,7 @@
             let path = matches.get_one::<PathBuf>("compare").expect("it was read");
             invalid(path, "it is of another experiment or of other seeds".to_owned())
         })?;
-        output::note(&format!(
-            "groups on time: {:+.4} ±{:.4} on the older result",
-            difference.mean, difference.half
-        ));
+        output::note(&FleetReport::describe_difference(difference));
     }
     match report.broken.len() {
         0 => Ok(()),
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -122,3 +122,29 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(stderr(&output).contains("--until: \"yesterday\" is not a time"));
 }
+
+#[test]
+fn an_experiment_is_played_compared_and_checked() {
+    let file = example("fleet-outage.json");
+    let play = |format: &str| run(&["--format", format, "bench", "fleet", &file, "--seeds", "3"]);
+    let text = play("text");
+    assert_eq!(text.status.code(), Some(0), "{}", stderr(&text));
+    assert!(String::from_utf8_lossy(&text.stdout).ends_with("every promise was kept\n\n"));
+
+    let old = play("json");
+    let old = temporary("fleet-old.json", &String::from_utf8_lossy(&old.stdout));
+    let compared = run(&["bench", "fleet", &file, "--seeds", "3", "--compare", &old]);
+    assert_eq!(compared.status.code(), Some(0));
+    assert!(stderr(&compared).contains("groups on time: +0.0000 ±0.0000"), "{}", stderr(&compared));
+    let other = run(&["bench", "fleet", &file, "--seeds", "2", "--compare", &old]);
+    assert_eq!(other.status.code(), Some(2));
+    assert!(stderr(&other).contains("of other seeds"), "{}", stderr(&other));
+
+    let experiment = fs::read_to_string(&file).expect("the example exists");
+    let experiment = experiment.replace("\"target_groups\": 16", "\"target_groups\": 18");
+    let path = temporary("fleet-wrong.json", &experiment);
+    let wrong = run(&["bench", "fleet", &path]);
+    assert_eq!(wrong.status.code(), Some(2));
+    let message = stderr(&wrong);
+    assert!(message.contains("trainers[0].target_groups: 18 is more than the 17"), "{message}");
+}
