--- a/crates/bench/src/fleet/duty.rs
+++ b/crates/bench/src/fleet/duty.rs
@@ -33,12 +33,7 @@
     pub fn new(host: usize, life: u64) -> Duty {
         let host = host_name(host);
         let lease = Lease::new("weights", &format!("{host}/{life}"), LEASE_TIMES);
-        Duty {
-            lease: lease.with_process(&format!("{host}/")),
-            host,
-            weights: Weights::default(),
-            term: None,
-        }
+        Duty { lease, host, weights: Weights::default(), term: None }
     }
 
     /// The fencing number under which orders may be sent now, and whether a term begins in which the
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -2,8 +2,7 @@
 //!
 //! A challenger takes a lease over only after the row stood unchanged for a full term on its own
 //! clock. A holder stops acting a margin before its term ends, counted from the start of its last
-//! renewal. No clock is compared with another's. A row that names an earlier start of the challenger's
-//! own process is free at once: that process has ended.
+//! renewal. No clock is compared with another's.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -83,8 +82,6 @@
 pub struct Lease {
     key: String,
     holder: String,
-    /// Start of the names of all starts of this process, if at most one of them lives at a time.
-    process: Option<String>,
     times: LeaseTimes,
     held: Option<Held>,
     seen: Option<Seen>,
@@ -104,7 +101,6 @@
         Lease {
             key: format!("lease/{role}"),
             holder: holder.to_owned(),
-            process: None,
             times,
             held: None,
             seen: None,
@@ -116,13 +112,6 @@
         }
     }
 
-    /// Takes the lease back at once from an earlier start of this process, whose holder's name begins
-    /// with `process`. Two processes with such names must never live at the same time.
-    pub fn with_process(mut self, process: &str) -> Lease {
-        self.process = Some(process.to_owned());
-        self
-    }
-
     /// Key of the lease's row.
     pub fn key(&self) -> &str {
         &self.key
@@ -245,7 +234,7 @@
     ) {
         let known = self.seen.as_ref().filter(|seen| seen.version == version);
         let since = known.map_or(now, |seen| seen.since);
-        let free = row.as_ref().is_none_or(|row| row.holder.is_empty() || self.was_held_by(row));
+        let free = row.as_ref().is_none_or(|row| row.holder.is_empty());
         let fence = row.as_ref().map_or(0, |row| row.fence);
         self.seen = Some(Seen { version, row, since });
         if free || now.saturating_sub(since) >= self.times.term {
@@ -253,11 +242,6 @@
         }
     }
 
-    /// Whether the row names an earlier start of this process.
-    fn was_held_by(&self, row: &LeaseRow) -> bool {
-        self.process.as_ref().is_some_and(|process| row.holder.starts_with(process))
-    }
-
     fn acquire(&mut self, now: Now, version: u64, fence: Fence, out: &mut Vec<LeaseAction>) {
         let row =
             LeaseRow { holder: self.holder.clone(), fence, renewals: 0, attempt: String::new() };
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -64,7 +64,7 @@
         Host {
             name: name.to_owned(),
             life,
-            lease: lease.with_process(&format!("{name}/")),
+            lease,
             weights: Weights::default(),
             term: None,
             inbox: Vec::new(),
--- a/crates/daemon/src/hosted/duty.rs
+++ b/crates/daemon/src/hosted/duty.rs
@@ -54,7 +54,7 @@
 /// The duty, and this daemon's view of its lease.
 pub struct Duty {
     node: Rc<Node>,
-    /// Name of this host for other holders; no two processes with it live at the same time.
+    /// Name of this host in records of orders.
     host: HostId,
     lease: Lease,
     weights: Weights,
@@ -68,7 +68,7 @@
         let host = format!("{}@{}", node.settings().host, node.settings().front);
         // A new start of a process is another holder.
         let holder = format!("{host}/{:x}", rand::random::<u64>());
-        let lease = Lease::new(ROLE, &holder, LEASE_TIMES).with_process(&format!("{host}/"));
+        let lease = Lease::new(ROLE, &holder, LEASE_TIMES);
         after!(TICK, [cx], tick());
         Some(Duty { node, host, lease, weights: Weights::default(), term: None })
     }
