--- a/crates/bench/src/fleet/day/orders.rs
+++ b/crates/bench/src/fleet/day/orders.rs
@@ -125,7 +125,8 @@
             return;
         }
         let found = self.store.records.get(&id).cloned().filter(|_| !self.store_is_away());
-        let may_send = self.hosts[host].duty.on_record(now, &id, began, found);
+        let turns = &mut self.hosts[host].duty.weights.turns;
+        let may_send = turns.on_record(now, &id, began, found);
         let answers = now >= self.servers[server].down_until;
         let report = (may_send && answers).then(|| self.servers[server].report());
         let fence = self.fence(host);
--- a/crates/bench/src/fleet/duty.rs
+++ b/crates/bench/src/fleet/duty.rs
@@ -3,22 +3,12 @@
 use std::time::Duration;
 
 use buckthornfall_core::{
-    lease::{Lease, LeaseTimes},
-    weights::{Recorded, Weights},
+    lease::Lease,
+    weights::{Weights, LEASE_TIMES},
     Now,
 };
 use buckthornfall_proto::ids::Fence;
 
-/// Times of the lease, as daemons on the users' platform have them.
-const LEASE_TIMES: LeaseTimes = LeaseTimes {
-    term: Duration::from_millis(2_200),
-    margin: Duration::from_millis(700),
-    interval: Duration::from_millis(400),
-    timeout: Duration::from_millis(1_300),
-};
-/// Longest time between the record of an order and its start.
-const RECORD_VALID: Duration = Duration::from_millis(400);
-
 /// The duty at one daemon.
 #[derive(Debug)]
 pub struct Duty {
@@ -51,24 +41,6 @@
         let reads = begins && self.weights.turns.are_recorded();
         (fence.filter(|fence| self.weights.may_order(*fence)), reads)
     }
-
-    /// Takes the record that stands in the store after this daemon tried to write its own, `began` ago
-    /// begun; whether the order may be sent.
-    pub fn on_record(
-        &mut self,
-        now: Now,
-        server: &str,
-        began: Now,
-        found: Option<Recorded>,
-    ) -> bool {
-        if !self.weights.turns.are_recorded() {
-            return true;
-        }
-        let Some(found) = found else { return false };
-        let ours = found.host == self.host && found.at == began;
-        self.weights.turns.on_record(server, found);
-        ours && now.saturating_sub(began) <= RECORD_VALID
-    }
 }
 
 /// Name of a host.
--- a/crates/core/src/weights.rs
+++ b/crates/core/src/weights.rs
@@ -14,10 +14,11 @@
 
 pub use self::{
     plan::{Demand, Plan},
-    turns::{Recorded, Turns, ORDER_ARRIVES},
+    turns::{Recorded, Turns},
 };
 use crate::{
     backends::{Backend, Backends, HeldModel},
+    lease::LeaseTimes,
     Now,
 };
 
@@ -113,6 +114,15 @@
     until: Now,
 }
 
+/// Times of the lease on the duty. A holder that stops acting the margin before its term ends leaves
+/// its last order time to arrive.
+pub const LEASE_TIMES: LeaseTimes = LeaseTimes {
+    term: Duration::from_millis(2_200),
+    margin: Duration::from_millis(700),
+    interval: Duration::from_millis(400),
+    timeout: Duration::from_millis(1_300),
+};
+
 /// Longest wait for the answer to a report or an order.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest time of a load before the server is asked again: a few times the usual second.
--- a/crates/core/src/weights/turns.rs
+++ b/crates/core/src/weights/turns.rs
@@ -11,9 +11,12 @@
 
 use crate::{store::RowVersion, Now};
 
-/// Longest time between the record of an order and the arrival of the order; a holder that could not
-/// send it by then records it again.
-pub const ORDER_ARRIVES: Duration = Duration::from_secs(1);
+/// Longest time between the record of an order and its start; a holder that could not send it by then
+/// records it again.
+const RECORD_VALID: Duration = Duration::from_millis(400);
+/// Longest time between the record of an order and its arrival: above `RECORD_VALID` this is half a
+/// second for a connection and a tenth for the way.
+const ORDER_ARRIVES: Duration = Duration::from_secs(1);
 
 /// The record of the last order to a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -59,9 +62,22 @@
         }
     }
 
-    /// Takes a record that this host wrote, or found when it wrote its own.
-    pub fn on_record(&mut self, server: &str, record: Recorded) {
-        self.records.insert(server.to_owned(), record);
+    /// Takes the record that stands in the store after this host tried to write its own, which it began
+    /// at `began`; whether the order may be sent at `now`.
+    pub fn on_record(
+        &mut self,
+        now: Now,
+        server: &str,
+        began: Now,
+        found: Option<Recorded>,
+    ) -> bool {
+        if !self.are_recorded() {
+            return true;
+        }
+        let Some(found) = found else { return false };
+        let ours = found.host == self.own && found.at == began;
+        self.records.insert(server.to_owned(), found);
+        ours && now.saturating_sub(began) <= RECORD_VALID
     }
 
     /// Version that the record of a server has; 0 if there is none.
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -6,9 +6,9 @@
 
 use buckthornfall_core::{
     backends::{Backend, Backends, HeldModel},
-    lease::{Lease, LeaseAction, LeaseTimes},
+    lease::{Lease, LeaseAction},
     table::{ReadResult, TableError, TxnResult},
-    weights::{OrderEnd, OrderReport, Recorded, WeightAction, Weights},
+    weights::{OrderEnd, OrderReport, Recorded, WeightAction, Weights, LEASE_TIMES},
     Now,
 };
 use buckthornfall_proto::{
@@ -20,19 +20,11 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Time between the orders of two hosts to a server.
 const WAIT: Duration = Duration::from_secs(3);
-const TIMES: LeaseTimes = LeaseTimes {
-    term: Duration::from_millis(2_200),
-    margin: Duration::from_millis(700),
-    interval: Duration::from_millis(400),
-    timeout: Duration::from_millis(1_300),
-};
 const HOSTS: usize = 3;
 const SERVERS: usize = 9;
 const LOAD: Duration = Duration::from_millis(900);
 /// Time between two versions.
 const STEP: Duration = Duration::from_secs(4);
-/// Longest time between the record of an order and its start.
-const RECORD_VALID: Duration = Duration::from_millis(400);
 /// Time after the last trouble in which all is well again.
 const RECOVERY: Duration = Duration::from_secs(12);
 const REPLY_LIMIT: Duration = Duration::from_millis(1_200);
@@ -60,7 +52,7 @@
 
 impl Host {
     fn new(name: &str, life: u64) -> Host {
-        let lease = Lease::new("weights", &format!("{name}/{life}"), TIMES);
+        let lease = Lease::new("weights", &format!("{name}/{life}"), LEASE_TIMES);
         Host {
             name: name.to_owned(),
             life,
@@ -353,12 +345,8 @@
                 }
             }
             Message::Report { server, report, began, found } => {
-                let host = &mut self.hosts[index];
-                let ours = |found: &Recorded| found.host == host.name && found.at == began;
-                let valid = found.as_ref().is_some_and(ours) && now - began <= RECORD_VALID;
-                if let Some(found) = found {
-                    host.weights.turns.on_record(&server, found);
-                }
+                let turns = &mut self.hosts[index].weights.turns;
+                let valid = turns.on_record(now, &server, began, found);
                 let fence = self.fence(index);
                 let mut out = Vec::new();
                 let report = Some(&report).filter(|_| valid);
--- a/crates/daemon/src/hosted/duty.rs
+++ b/crates/daemon/src/hosted/duty.rs
@@ -4,10 +4,10 @@
 
 use buckthornfall_core::{
     backends::Backend,
-    lease::{Lease, LeaseAction, LeaseTimes},
+    lease::{Lease, LeaseAction},
     store::{RowKey, StoreFailure, StoreTx, StoredRow, TxEnd},
     table::{ReadResult, TableError, TxnResult},
-    weights::{Order, OrderEnd, OrderReport, Plan, Recorded, WeightAction, Weights},
+    weights::{Order, OrderEnd, OrderReport, Plan, Recorded, WeightAction, Weights, LEASE_TIMES},
     Now,
 };
 use buckthornfall_platform::servers;
@@ -34,22 +34,13 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(900);
 /// Longest wait for a connection to a server.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
-/// Longest time between the record of an order and its start: with `CONNECT_LIMIT` and the way, it
-/// arrives within `weights::ORDER_ARRIVES`.
-const RECORD_VALID: Duration = Duration::from_millis(400);
 /// Age after which the record of an order is removed.
 const RECORD_KEPT: Duration = Duration::from_secs(60);
-/// Most records that one transaction removes, a bound of the store.
-const MAX_REMOVED: usize = 100;
+/// Most records that one transaction removes: a bound of the store is 100 entries, and each record
+/// takes two, as it may have been written anew.
+const MAX_REMOVED: usize = 50;
 /// Pause before the records are read again.
 const READ_PAUSE: Duration = Duration::from_millis(150);
-/// A holder that stops acting this long before its term ends leaves its last order time to arrive.
-const LEASE_TIMES: LeaseTimes = LeaseTimes {
-    term: Duration::from_millis(2_200),
-    margin: Duration::from_millis(700),
-    interval: Duration::from_millis(400),
-    timeout: Duration::from_millis(1_300),
-};
 
 /// The duty, and this daemon's view of its lease.
 pub struct Duty {
@@ -166,12 +157,11 @@
                 let version = turns.are_recorded().then(|| turns.version(&server));
                 let host = self.host.clone();
                 tokio::task::spawn_local(async move {
-                    let record = async {
-                        let version = version?;
-                        Some(record_order(&node, &entry.id, host, version).await)
-                    };
-                    let (report, record) = tokio::join!(ask_report(&node, &entry), record);
-                    node.duty(move |duty, _| duty.on_report(&entry.id, report, record));
+                    let began = clock::now();
+                    let record =
+                        async { record_order(&node, &entry.id, host, began, version?).await };
+                    let (report, found) = tokio::join!(ask_report(&node, &entry), record);
+                    node.duty(move |duty, _| duty.on_report(&entry.id, report, began, found));
                 });
             }
             WeightAction::Send { server, order } => {
@@ -192,13 +182,16 @@
         }
     }
 
-    /// Takes a server's report and the record of the order that follows, if one is needed.
-    fn on_report(&mut self, server: &str, report: Option<OrderReport>, record: Option<Record>) {
+    /// Takes a server's report, and the record of the order that follows if one is needed.
+    fn on_report(
+        &mut self,
+        server: &str,
+        report: Option<OrderReport>,
+        began: Now,
+        found: Option<Recorded>,
+    ) {
         let now = clock::now();
-        let is_recorded = record.as_ref().is_none_or(|record| record.allows(now, &self.host));
-        if let Some(found) = record.and_then(|record| record.found) {
-            self.weights.turns.on_record(server, found);
-        }
+        let is_recorded = self.weights.turns.on_record(now, server, began, found);
         let fence = self.fence();
         let report = report.filter(|_| is_recorded);
         let mut out = Vec::new();
@@ -270,41 +263,25 @@
     end
 }
 
-/// The outcome of recording an order.
-struct Record {
-    /// When it began.
+/// Records an order to a server whose record has `version`; the record that stands there afterwards, if
+/// that is known.
+async fn record_order(
+    node: &Node,
+    server: &str,
+    host: HostId,
     began: Now,
-    /// The record that stands in the store now, if that is known.
-    found: Option<Recorded>,
-}
-
-impl Record {
-    /// Whether `host` may send the order at `now`.
-    fn allows(&self, now: Now, host: &str) -> bool {
-        let recorded =
-            self.found.as_ref().is_some_and(|found| found.host == host && found.at == self.began);
-        recorded && now.saturating_sub(self.began) <= RECORD_VALID
-    }
-}
-
-/// Records an order to a server whose record has `version`.
-async fn record_order(node: &Node, server: &str, host: HostId, version: u64) -> Record {
-    let began = clock::now();
+    version: u64,
+) -> Option<Recorded> {
     let key = RowKey::new(rows::ORDERS, "", server);
     let row = OrderRow { host: host.clone(), at_ms: node.store.clock_ms() };
     let tx = StoreTx::replace(key.clone(), version, rows::encode(&row));
-    let found = match node.store.transact(&tx).await {
-        TxEnd::Committed(version) => Some(Recorded { host, at: began, version }),
-        TxEnd::Conflict(found) => {
-            let found = found.iter().find(|found| found.key == key);
-            found.and_then(|found| recorded(node, found))
-        }
-        TxEnd::Failed(_) => None,
-    };
-    if found.as_ref().is_none_or(|found| found.at != began) {
-        info!(server, version, found:? = found; "order_not_recorded");
+    let end = node.store.transact(&tx).await;
+    if let TxEnd::Committed(version) = end {
+        return Some(Recorded { host, at: began, version });
     }
-    Record { began, found }
+    info!(server, version, outcome:? = end; "order_not_recorded");
+    let TxEnd::Conflict(found) = end else { return None };
+    found.iter().find(|found| found.key == key).and_then(|found| recorded(node, found))
 }
 
 /// The records of all orders; those that are over are removed.
@@ -322,7 +299,7 @@
         }
     }
     info!(records = records.len(), over = over.len(); "orders_read");
-    for over in over.chunks(MAX_REMOVED / 2) {
+    for over in over.chunks(MAX_REMOVED) {
         let expected = over.iter().map(|row| (row.key.clone(), row.version)).collect();
         let remove = over.iter().map(|row| row.key.clone()).collect();
         let end = node.store.transact(&StoreTx { expected, put: Vec::new(), remove }).await;
