--- a/crates/bench/src/fleet/day.rs
+++ b/crates/bench/src/fleet/day.rs
@@ -141,6 +141,7 @@
         day
     }
 
+    /// Plays the day to its end.
     pub fn play(mut self) -> DayReport {
         let end = START + Duration::from_millis(self.cfg.load_ms + self.cfg.drain_ms);
         while let Some(((at, _), event)) = self.queue.pop_first() {
@@ -163,6 +164,7 @@
         }
     }
 
+    /// Lets a daemon begin to work: it reads the entries and the named versions.
     fn begin(&mut self, index: usize) {
         let host = &mut self.hosts[index];
         for server in &self.servers {
--- a/crates/bench/src/fleet/day/faults.rs
+++ b/crates/bench/src/fleet/day/faults.rs
@@ -45,6 +45,7 @@
         }
     }
 
+    /// A share of `count`, at least one, by chance.
     fn some(&mut self, share: f64, count: usize) -> Vec<usize> {
         let mut all: Vec<_> = (0..count).collect();
         all.shuffle(&mut self.rng);
--- a/crates/bench/src/fleet/day/jobs.rs
+++ b/crates/bench/src/fleet/day/jobs.rs
@@ -53,6 +53,7 @@
         }
     }
 
+    /// The trainer and the step of a job.
     fn step_of(&self, job: &str) -> (usize, usize) {
         let (model, step) = job.rsplit_once('-').expect("a job of this day");
         let trainer = self.trainers.iter().position(|trainer| trainer.cfg.model == model);
@@ -153,11 +154,13 @@
         self.advance_jobs(host, Vec::new());
     }
 
+    /// Opens all jobs that a daemon owns.
     pub(super) fn open_all(&mut self, host: usize) {
         let life = self.hosts[host].life;
-        for trainer in
-            (0..self.trainers.len()).filter(|t| self.owners[*t] == host).collect::<Vec<_>>()
-        {
+        for trainer in 0..self.trainers.len() {
+            if self.owners[trainer] != host {
+                continue;
+            }
             for step in 0..self.trainers[trainer].steps.len() {
                 let asked = &self.trainers[trainer].steps[step];
                 if asked.accepted.is_some() && asked.ended.is_none() {
--- a/crates/bench/src/fleet/servers.rs
+++ b/crates/bench/src/fleet/servers.rs
@@ -56,10 +56,15 @@
         }
     }
 
-    /// The server's entry.
-    pub fn entry(&self, cfg: &experiment::Servers) -> Backend {
+    /// The models that it holds.
+    fn held(&self) -> Vec<HeldModel> {
         let held =
             |(name, version): (&String, &u64)| HeldModel { name: name.clone(), version: *version };
+        self.versions.iter().map(held).collect()
+    }
+
+    /// The server's entry.
+    pub fn entry(&self, cfg: &experiment::Servers) -> Backend {
         Backend {
             id: self.id.clone(),
             service: super::day::SERVICE.to_owned(),
@@ -68,7 +73,7 @@
             slots: cfg.slots,
             draining: false,
             started_ms: 1,
-            models: self.versions.iter().map(held).collect(),
+            models: self.held(),
         }
     }
 
@@ -87,13 +92,7 @@
     }
 
     pub fn report(&self) -> OrderReport {
-        let held =
-            |(name, version): (&String, &u64)| HeldModel { name: name.clone(), version: *version };
-        OrderReport {
-            busy: self.loads.is_some(),
-            accepted: self.accepted,
-            models: self.versions.iter().map(held).collect(),
-        }
+        OrderReport { busy: self.loads.is_some(), accepted: self.accepted, models: self.held() }
     }
 
     /// Takes an order of a host.
