--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod progress;
 pub mod publish;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod readiness;
 pub mod relay;
 pub mod retention;
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -12,13 +12,14 @@
     desired::{Desired, InForce},
     job::JobId,
     members::Members,
+    rate_limit::{RateLimits, StatedRate},
     readiness::Readiness,
     store::{RowKey, RowVersion, StoreTx, TxEnd},
     suspects::Suspects,
     weights::Plan,
     Now,
 };
-use buckthornfall_platform::{headers, settings::NodeSettings};
+use buckthornfall_platform::{headers, limits, settings::NodeSettings};
 use buckthornfall_proto::{
     ids::{Fingerprint, ServerId},
     messages::{JobRow, JobState, LeavingRow, MemberState, SuspectRow},
@@ -74,6 +75,7 @@
     pub backends: RefCell<Backends>,
     pub members: RefCell<Members>,
     pub suspects: RefCell<Suspects>,
+    pub rate_limits: RefCell<RateLimits>,
     /// Servers with a leaving row in the store, with the time at which the row was read.
     pub leaving_rows: RefCell<FxHashMap<ServerId, Now>>,
     pub jobs: RefCell<FxHashMap<JobId, KnownJob>>,
@@ -108,6 +110,7 @@
             desired: RefCell::default(),
             backends: RefCell::default(),
             suspects: RefCell::default(),
+            rate_limits: RefCell::default(),
             leaving_rows: RefCell::default(),
             members: RefCell::new(Members::new(settings.host.clone())),
             jobs: RefCell::default(),
@@ -185,12 +188,16 @@
         });
     }
 
-    /// Checks the head of a server's response for the header that announces that the server is
-    /// leaving. `started_ms` is the start time of the server that the request was sent to.
+    /// Checks the head of a server's response for its request limit and for the announcement that
+    /// the server is leaving. `started_ms` is the start time of the server that the request was sent
+    /// to.
     pub fn on_response<B>(self: &Rc<Node>, server: &str, started_ms: u64, response: &Response<B>) {
         // A 421 may come from another server that now has the address of a server that is gone.
-        let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-        if misdirected || !announces_leaving(response.headers()) {
+        if response.status() == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        self.on_stated_rate(server, started_ms, limits::stated_rate(response.headers()));
+        if !announces_leaving(response.headers()) {
             return;
         }
         let changed = self.backends.borrow_mut().on_leaving(clock::now(), server, started_ms);
@@ -201,6 +208,14 @@
         }
     }
 
+    fn on_stated_rate(&self, server: &str, started_ms: u64, stated: StatedRate) {
+        let mut rate_limits = self.rate_limits.borrow_mut();
+        let change = rate_limits.on_response(clock::now(), server, started_ms, stated);
+        if let Some(change) = change {
+            info!(server, started_ms, change:? = change; "server_limit");
+        }
+    }
+
     /// Stores the leaving row of a server, for the other daemons and for later starts of this one.
     async fn share_leaving(&self, server: &str, started_ms: u64) {
         let key = RowKey::new(rows::FLEET, "", &format!("{}{server}", rows::LEAVING_PREFIX));
--- a/xtask/src/names_check.rs
+++ b/xtask/src/names_check.rs
@@ -17,7 +17,7 @@
 }
 
 /// Names that are specific to the platform's messages; letter case is ignored.
-const PLATFORM_NAMES: [&str; 18] = [
+const PLATFORM_NAMES: [&str; 19] = [
     "BUCKTHORNFALL_BOOT",
     "x-attempt-id",
     "x-deadline-ms",
@@ -26,6 +26,7 @@
     "x-response-signature",
     "x-weight-versions",
     "server-leaving",
+    "server-limit",
     "/v1/lots",
     "/v1/items",
     "/v1/resolve",
