Keep the requests of all daemons within the limit that a server states

Cause: nothing read the limit, and no place could have enforced it: four modules sent requests to servers through a connection pool each on its own, in every daemon.

Fix: a request to a server needs a Permit, which only hosted/permits.rs creates, so that a new sender cannot bypass it. Without a limit the permit is free. For a limited server one daemon issues the permits for all (highest rendezvous rank among the live ones, those in the server's region first); the others ask it over HTTP/2. It issues at the stated rate, without bursts, to classes that share it by priority, and denies at once what would wait longer than its patience. Limits and withdrawals go to the other daemons by a row limit/SERVER, and with each permit request. A daemon that gets a request though it ranks another one first passes it on once, so that differing views converge. A denied caller's request tries the next server and is refused with the wait as Retry-After; an unlimited server takes what it can before anything waits. A denial starts no backoff. An update of weights acquires the permits of its report and its order before it starts, as the order must follow its record at once.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -28,6 +28,26 @@
         TokenBucket { rate, burst, tokens: burst, updated: now }
     }
 
+    /// Creates an empty bucket.
+    pub fn empty(now: Now, rate: f64, burst: f64) -> TokenBucket {
+        TokenBucket { tokens: 0.0, ..TokenBucket::new(now, rate, burst) }
+    }
+
+    /// Changes the rate and the capacity, and keeps the tokens that fit.
+    pub fn set_rate(&mut self, now: Now, rate: f64, burst: f64) {
+        self.refill(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
+    /// Returns the time until `amount` tokens have accumulated, even if they exceed the capacity.
+    pub fn wait(&self, now: Now, amount: f64) -> Duration {
+        let elapsed = now.saturating_sub(self.updated).as_secs_f64();
+        let tokens = (self.tokens + elapsed * self.rate).min(self.burst);
+        Duration::from_secs_f64(((amount - tokens) / self.rate).max(0.0))
+    }
+
     /// Takes `amount` tokens, or returns the time until they are available.
     pub fn take(&mut self, now: Now, amount: f64) -> Result<(), Duration> {
         self.refill(now);
--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -8,7 +8,11 @@
 use buckthornfall_proto::ids::{ServerId, ServiceName, WeightVersion};
 use rustc_hash::FxHashMap;
 
-use crate::Now;
+use crate::{
+    permits::PermitClass,
+    rate_limit::{Limit, RateLimits},
+    Now,
+};
 
 /// A model loaded by a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -107,6 +111,8 @@
     service_time: Option<(f64, Now)>,
     /// When the entry disappeared, if a store call had failed shortly before.
     missing_since: Option<Now>,
+    /// When a further request of each class is expected to get a permit.
+    permits_at: Vec<(PermitClass, Now)>,
 }
 
 impl Tracked {
@@ -120,9 +126,15 @@
             loading_until: Now::ZERO,
             service_time: None,
             missing_since: None,
+            permits_at: Vec::new(),
         }
     }
 
+    fn permit_wait(&self, now: Now, class: PermitClass) -> Duration {
+        let at = self.permits_at.iter().find(|(of, _)| *of == class);
+        at.map_or(Duration::ZERO, |(_, at)| at.saturating_sub(now))
+    }
+
     fn is_faulty(&self) -> bool {
         self.errors >= FAULTY_ERROR_COUNT
     }
@@ -159,12 +171,17 @@
 /// stale entry can be read again.
 const LEAVING_TTL: Duration = Duration::from_secs(3_600);
 
+/// Time for which the limit of a server without an entry is kept, as the entry may reappear.
+const LIMIT_TTL: Duration = Duration::from_secs(60);
+
 /// All backend servers known to a daemon.
 #[derive(Debug, Clone, Default)]
 pub struct Backends {
     servers: FxHashMap<ServerId, Tracked>,
     /// Outlives the entries, as a stale entry may be read again.
     leaving: FxHashMap<ServerId, Leaving>,
+    /// Request limits stated by the servers.
+    pub rate_limits: RateLimits,
 }
 
 /// Location of a daemon.
@@ -210,6 +227,14 @@
     pub location: &'a Location,
     /// Servers that were already tried.
     pub tried: &'a [ServerId],
+    /// Class in which the request competes for the permits of limited servers.
+    pub class: PermitClass,
+}
+
+impl ServerQuery<'_> {
+    fn matches(&self, entry: &Backend) -> bool {
+        entry.service == self.service && !entry.draining && !self.tried.contains(&entry.id)
+    }
 }
 
 impl Backends {
@@ -279,6 +304,10 @@
                 .missing_since
                 .is_none_or(|at| now.saturating_sub(at.max(steady_since)) < MISSING_ENTRY_GRACE)
         });
+        let servers = &self.servers;
+        self.rate_limits.retain(|id, limit| {
+            servers.contains_key(id) || now.saturating_sub(limit.stated_at) < LIMIT_TTL
+        });
     }
 
     /// Returns the entry of a server.
@@ -298,6 +327,36 @@
         })
     }
 
+    /// Returns the request limit of a server; `None` if it has none.
+    pub fn limit(&self, id: &str) -> Option<&Limit> {
+        let known = self.servers.get(id)?;
+        self.rate_limits.limit(id, known.entry.started_ms)
+    }
+
+    /// Records when a further request of `class` is expected to get a permit.
+    pub fn on_permit_wait(&mut self, now: Now, id: &str, class: PermitClass, wait: Duration) {
+        if let Some(known) = self.servers.get_mut(id) {
+            known.permits_at.retain(|(of, at)| *of != class && *at > now);
+            known.permits_at.push((class, now + wait));
+        }
+    }
+
+    /// Returns the expected wait of a request of `class` for a permit; zero for a server without a
+    /// limit, and while no earlier request had to wait.
+    pub fn permit_wait(&self, now: Now, id: &str, class: PermitClass) -> Duration {
+        let wait = |known: &Tracked| known.permit_wait(now, class);
+        self.limit(id).and_then(|_| self.servers.get(id)).map_or(Duration::ZERO, wait)
+    }
+
+    /// Returns whether a server without a limit could take the request now.
+    pub fn has_unlimited(&self, now: Now, query: ServerQuery<'_>) -> bool {
+        self.servers.values().any(|known| {
+            query.matches(&known.entry)
+                && known.backoff_until <= now
+                && self.limit(&known.entry.id).is_none()
+        })
+    }
+
     /// Returns the number of this daemon's requests at a server.
     pub fn inflight(&self, id: &str) -> u32 {
         self.servers.get(id).map_or(0, |known| known.inflight)
@@ -339,17 +398,14 @@
         query: ServerQuery<'_>,
         is_connected: impl Fn(&Backend) -> bool,
     ) -> Option<&Backend> {
-        let matches = |known: &&Tracked| {
-            known.entry.service == query.service
-                && !known.entry.draining
-                && !query.tried.contains(&known.entry.id)
-        };
+        let matches = |known: &&Tracked| query.matches(&known.entry);
         let mean = self.mean_service_time(now, query.service);
         let cost = |known: &Tracked| {
             let load = f64::from(known.inflight) / f64::from(known.entry.slots.max(1));
             let queued = known.service_time(now).unwrap_or(mean) * (1.0 + load * load);
             let connect = if is_connected(&known.entry) { Duration::ZERO } else { CONNECT_COST };
-            connect.as_secs_f64()
+            let permit = self.permit_wait(now, &known.entry.id, query.class);
+            (connect + permit).as_secs_f64()
                 + queued
                 + query.location.round_trip(&known.entry.zone).as_secs_f64()
         };
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -103,6 +103,9 @@
 const RETRY_BACKOFF_MAX: Duration = Duration::from_secs(1);
 /// Delay before a failed scoring request is retried.
 const SCORER_RETRY_DELAY: Duration = Duration::from_millis(80);
+/// Maximum delay before a permit for a scoring request is requested again: a limit may be withdrawn
+/// or another scoring server may start.
+const MAX_PERMIT_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of retained texts of closed jobs.
 const MAX_RETAINED_TEXTS: usize = 512;
 /// Lifetime of a retained text: a few training steps.
@@ -308,7 +311,7 @@
                 job.give_up(&active_run.job, active_run.sample, GiveUp::Impossible, out);
             }
             // The backoff applies to the server, not to the sample.
-            RunEnd::Refused => sample.state = SampleState::Waiting(now),
+            RunEnd::Refused | RunEnd::Denied => sample.state = SampleState::Waiting(now),
             RunEnd::Broken => {
                 let backoff = RETRY_BACKOFF * 2u32.pow(sample.consecutive_breaks.min(5));
                 sample.consecutive_breaks += 1;
@@ -343,6 +346,12 @@
                     job.give_up(id, index, GiveUp::ScorerFailures, out);
                 }
             }
+            ScoreEnd::Denied { retry_after } => {
+                // The request was not sent, so it does not shorten the timeout of the next one.
+                sample.scorer_requests = sample.scorer_requests.saturating_sub(1);
+                let delay = retry_after.clamp(SCORER_RETRY_DELAY, MAX_PERMIT_DELAY);
+                sample.state = SampleState::Unscored(now + delay);
+            }
             ScoreEnd::NoAnswer => sample.state = SampleState::Unscored(now + SCORER_RETRY_DELAY),
         }
     }
--- a/crates/core/src/job/runs.rs
+++ b/crates/core/src/job/runs.rs
@@ -7,6 +7,7 @@
 use super::{Job, JobAction, JobId, Jobs, NamedVersion, Run, RunEnd, SampleState};
 use crate::{
     backends::{Backends, Ended},
+    permits::PermitClass,
     weights::Plan,
     Now,
 };
@@ -148,7 +149,8 @@
         plan: &Plan,
     ) -> bool {
         let Some(other) = choose_server(now, job, named, backends, plan) else { return false };
-        if job.is_likely_loading(now, named, backends, &other) {
+        // A migration costs a request, which a limited server should spend on another sample.
+        if job.is_likely_loading(now, named, backends, &other) || backends.limit(&other).is_some() {
             return false;
         }
         let event_time =
@@ -176,8 +178,10 @@
     plan: &Plan,
 ) -> Option<ServerId> {
     let model = &job.spec.model;
+    let class = PermitClass::job(job.policy.priority);
     let eligible = |id: &ServerId| {
         backends.usable(now, id)
+            && backends.permit_wait(now, id, class).is_zero()
             && backends.get(id).is_some_and(|entry| {
                 entry.service == job.policy.service
                     && entry.version(model).is_some_and(|v| v >= job.spec.min_version)
@@ -230,5 +234,6 @@
         RunEnd::Failed => Ended::Erred,
         RunEnd::Broken => Ended::Failed,
         RunEnd::Refused => Ended::Refused,
+        RunEnd::Denied => Ended::Cancelled,
     }
 }
--- a/crates/core/src/job/spec.rs
+++ b/crates/core/src/job/spec.rs
@@ -1,5 +1,7 @@
 //! Specifications, actions and outcomes of jobs.
 
+use std::time::Duration;
+
 use buckthornfall_proto::ids::{ServerId, ServiceName, WeightVersion};
 use bytes::Bytes;
 
@@ -84,6 +86,8 @@
     Broken,
     /// The server rejected the request without running it.
     Refused,
+    /// The server's request limit did not admit the request in time; it was not sent.
+    Denied,
     /// The server ran the request and failed.
     Failed,
     /// The sample can never succeed.
@@ -102,6 +106,11 @@
     },
     /// No usable response was received.
     NoAnswer,
+    /// The scorer's request limit did not admit the request in time; it was not sent.
+    Denied {
+        /// Expected wait of a further request.
+        retry_after: Duration,
+    },
 }
 
 /// Action requested by [`Jobs`](super::Jobs).
--- a/crates/core/src/rate_limit.rs
+++ b/crates/core/src/rate_limit.rs
@@ -1,4 +1,5 @@
-//! Request rates that backend servers accept from all daemons together.
+//! Request rates that backend servers accept from all daemons together, as far as this daemon knows
+//! them: from the servers' responses, and from the other daemons.
 
 use buckthornfall_proto::ids::ServerId;
 use rustc_hash::FxHashMap;
@@ -16,14 +17,15 @@
     Unreadable,
 }
 
-/// Limit of one server process.
+/// Latest known statement of one server process.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
-    /// Maximum requests per second from all daemons together; finite and not negative.
-    pub rate: f64,
+    /// Maximum requests per second from all daemons together, finite and not negative; `None` once
+    /// the server has stopped stating a limit.
+    pub rate: Option<f64>,
     /// Start time of the server process, in Unix milliseconds.
     pub started_ms: u64,
-    /// Time of the latest response that stated the limit.
+    /// Time of the latest response that confirmed this.
     pub stated_at: Now,
 }
 
@@ -45,33 +47,71 @@
 }
 
 impl RateLimits {
-    /// Records the rate stated in a response of the server process started at `started_ms`, and
-    /// returns what it changes.
+    /// Records the rate stated in a response of the server process started at `started_ms` to a
+    /// request sent at `sent_at`, and returns what it changes.
     pub fn on_response(
         &mut self,
         now: Now,
+        sent_at: Now,
         server: &str,
         started_ms: u64,
         stated: StatedRate,
     ) -> Option<LimitChange> {
-        let known = self.limits.get(server).filter(|limit| limit.started_ms <= started_ms);
-        let known_rate = known.filter(|limit| limit.started_ms == started_ms).map(|l| l.rate);
+        let known = self.limits.get(server).copied();
+        if known.is_some_and(|known| known.started_ms > started_ms) {
+            return None;
+        }
+        let same_process = known.filter(|known| known.started_ms == started_ms);
+        let known_rate = same_process.and_then(|known| known.rate);
         match stated {
             StatedRate::PerSecond(rate) => {
-                let limit = Limit { rate, started_ms, stated_at: now };
+                let limit = Limit { rate: Some(rate), started_ms, stated_at: now };
                 self.limits.insert(server.to_owned(), limit);
                 (known_rate != Some(rate)).then_some(LimitChange::Stated(rate))
             }
             StatedRate::Unlimited => {
-                known?;
-                self.limits.remove(server).map(|_| LimitChange::Withdrawn)
+                // A response to an earlier request may be older than the statement.
+                if same_process.is_some_and(|known| sent_at < known.stated_at) {
+                    return None;
+                }
+                let was_limited = known?.rate.is_some();
+                let limit = Limit { rate: None, started_ms, stated_at: now };
+                self.limits.insert(server.to_owned(), limit);
+                was_limited.then_some(LimitChange::Withdrawn)
             }
             StatedRate::Unreadable => Some(LimitChange::Unreadable),
         }
     }
 
-    /// Returns the limit of a server.
+    /// Adopts what another daemon knows, if it is newer, and returns whether the rate changed.
+    pub fn learn(&mut self, server: &str, limit: Limit) -> bool {
+        let known = self.limits.get(server).copied();
+        let age = |limit: &Limit| (limit.started_ms, limit.stated_at);
+        if known.is_some_and(|known| age(&known) >= age(&limit)) {
+            return false;
+        }
+        self.limits.insert(server.to_owned(), limit);
+        known.and_then(|known| known.rate) != limit.rate
+    }
+
+    /// Returns what is known of a server, limited or not.
     pub fn get(&self, server: &str) -> Option<&Limit> {
         self.limits.get(server)
     }
+
+    /// Returns the limit of the server process started at `started_ms`; `None` if it has none.
+    pub fn limit(&self, server: &str, started_ms: u64) -> Option<&Limit> {
+        let known = self.limits.get(server)?;
+        (known.started_ms == started_ms && known.rate.is_some()).then_some(known)
+    }
+
+    /// Iterates over the servers with what is known of them.
+    pub fn iter(&self) -> impl Iterator<Item = (&ServerId, &Limit)> {
+        self.limits.iter()
+    }
+
+    /// Forgets the servers for which `keep` returns false.
+    pub fn retain(&mut self, mut keep: impl FnMut(&ServerId, &Limit) -> bool) {
+        self.limits.retain(|server, limit| keep(server, limit));
+    }
 }
--- a/crates/core/src/weights.rs
+++ b/crates/core/src/weights.rs
@@ -125,7 +125,9 @@
     timeout: Duration::from_millis(1_300),
 };
 
-/// Timeout of a report request or an order.
+/// Timeout of a report, including the waits for permits of a limited server.
+pub const REPORT_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// Timeout of an order.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout of a load before the server is queried again; a load usually takes about one second.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -222,7 +224,7 @@
                 model,
                 version,
                 state: UpdateState::ReportRequested,
-                until: now + ANSWER_TIMEOUT,
+                until: now + REPORT_TIMEOUT,
             };
             self.updates.insert(server.clone(), update);
             out.push(WeightAction::RequestReport { server });
--- a/crates/core/tests/support/gossip.rs
+++ b/crates/core/tests/support/gossip.rs
@@ -226,8 +226,11 @@
                 }
             }
             PeerMessage::ManifestPush(push) => self.nodes[to].config.on_push(&push, &mut out),
-            PeerMessage::StoreCall(_) | PeerMessage::StoreReply(_) => {
-                panic!("only hosted daemons relay store calls")
+            PeerMessage::StoreCall(_)
+            | PeerMessage::StoreReply(_)
+            | PeerMessage::PermitRequest(_)
+            | PeerMessage::PermitReply(_) => {
+                panic!("only hosted daemons relay store calls and issue permits")
             }
         }
         self.apply(to, out);
--- a/crates/core/tests/views.rs
+++ b/crates/core/tests/views.rs
@@ -6,6 +6,7 @@
     backends::{Backend, Backends, Ended, Location, ServerQuery, MISSING_ENTRY_GRACE},
     desired::{Desired, InForce, Route, RouteKind, Target},
     members::Members,
+    permits::PermitClass,
     progress::{Progress, EVENT_TIMEOUT},
     readiness::{Readiness, Table},
     store::StoreClock,
@@ -36,7 +37,8 @@
 
 fn chosen(backends: &Backends, now: Now) -> Option<String> {
     let location = location();
-    let want = ServerQuery { service: "desk", location: &location, tried: &[] };
+    let class = PermitClass::caller(0);
+    let want = ServerQuery { service: "desk", location: &location, tried: &[], class };
     backends.choose(now, want, |_| true).map(|entry| entry.id.clone())
 }
 
@@ -342,7 +344,8 @@
         backends.ended(NOW, id, Ended::Answered(Duration::from_millis(millis)));
     }
     let location = location();
-    let want = ServerQuery { service: "desk", location: &location, tried: &[] };
+    let class = PermitClass::caller(0);
+    let want = ServerQuery { service: "desk", location: &location, tried: &[], class };
     let chosen = |connected: &str| {
         let entry = backends.choose(NOW, want, |entry| entry.id == connected);
         entry.map(|entry| entry.id.clone())
--- a/crates/daemon/src/actors/control.rs
+++ b/crates/daemon/src/actors/control.rs
@@ -293,9 +293,13 @@
                 self.config.on_push(&push, &mut out);
                 self.apply_config(cx, out);
             }
-            // Only hosted daemons relay store calls.
+            // Only hosted daemons relay store calls and issue permits.
             PeerEvent::Request {
-                message: PeerMessage::StoreCall(_) | PeerMessage::StoreReply(_),
+                message:
+                    PeerMessage::StoreCall(_)
+                    | PeerMessage::StoreReply(_)
+                    | PeerMessage::PermitRequest(_)
+                    | PeerMessage::PermitReply(_),
                 ..
             } => {}
             PeerEvent::Answer { .. } => {}
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -14,6 +14,7 @@
 mod node;
 mod owners;
 mod peers;
+mod permits;
 mod reload;
 mod responses;
 mod rows;
@@ -145,6 +146,7 @@
     heartbeat::start(&node);
     tokio::task::spawn_local(owners::watch(Rc::clone(&node)));
     tokio::task::spawn_local(cleanup::run(Rc::clone(&node)));
+    tokio::task::spawn_local(permits::run(Rc::clone(&node)));
     info!(host = config.host.as_str(), zone = config.zone.as_str(), front:% = config.front, store:% = config.store; "started");
     tokio::task::spawn_local(reload::watch(Rc::clone(&node), changed));
     terminate.recv().await;
--- a/crates/daemon/src/hosted/body.rs
+++ b/crates/daemon/src/hosted/body.rs
@@ -187,7 +187,7 @@
             Some(Err(e)) => Poll::Ready(Some(Err(e).context(ServerSnafu))),
             None if self.tail.ends_event() => {
                 if let Some(conn) = self.conn.take() {
-                    self.node.server_pool.put(conn);
+                    self.node.servers.put(conn);
                 }
                 Poll::Ready(None)
             }
--- a/crates/daemon/src/hosted/cleanup.rs
+++ b/crates/daemon/src/hosted/cleanup.rs
@@ -21,9 +21,9 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum rows removed in one transaction, a limit of the store.
 const MAX_REMOVED_ROWS: usize = 100;
-/// Minimum age at which the row of a leaving server is removed: during an outage of the store the
-/// server's entry may expire and reappear.
-const LEAVING_ROW_TTL: Duration = Duration::from_secs(60);
+/// Minimum age at which the row of a leaving or limited server is removed: during an outage of the
+/// store the server's entry may expire and reappear.
+const SERVER_ROW_TTL: Duration = Duration::from_secs(60);
 /// Tables that are partitioned by job.
 const JOB_TABLES: [&str; 3] = [rows::SUBMISSIONS, rows::RESULTS, rows::PROGRESS];
 
@@ -38,6 +38,7 @@
             remove_job(&node, &id, &job).await;
         }
         remove_stale_leaving_rows(&node).await;
+        remove_stale_limit_rows(&node).await;
     }
 }
 
@@ -67,7 +68,7 @@
             let is_leaving = backends.get(id).is_some_and(|entry| entry.draining);
             !is_leaving
                 && is_responsible(node, id)
-                && now.saturating_sub(**read_at) > LEAVING_ROW_TTL
+                && now.saturating_sub(**read_at) > SERVER_ROW_TTL
         });
         let key = |id: &str| RowKey::new(rows::FLEET, "", &format!("{}{id}", rows::LEAVING_PREFIX));
         stale.map(|(id, _)| key(id)).take(MAX_REMOVED_ROWS).collect()
@@ -78,6 +79,26 @@
     }
 }
 
+/// Removes the limit rows of servers that are gone, have restarted or stopped stating a limit.
+async fn remove_stale_limit_rows(node: &Node) {
+    let keys: Vec<_> = {
+        let now = clock::now();
+        let backends = node.backends.borrow();
+        let known = node.limit_rows.borrow();
+        let stale = known.iter().filter(|(id, read_at)| {
+            backends.limit(id).is_none()
+                && is_responsible(node, id)
+                && now.saturating_sub(**read_at) > SERVER_ROW_TTL
+        });
+        let key = |id: &str| RowKey::new(rows::FLEET, "", &format!("{}{id}", rows::LIMIT_PREFIX));
+        stale.map(|(id, _)| key(id)).take(MAX_REMOVED_ROWS).collect()
+    };
+    if !keys.is_empty() {
+        let end = node.store.transact(&StoreTx::remove(keys)).await;
+        info!(outcome:? = end; "withdrawn_limits_removed");
+    }
+}
+
 /// Removes the rows and the object of a job. The job's own row is removed last, so that an
 /// interrupted removal is retried.
 async fn remove_job(node: &Rc<Node>, id: &str, job: &KnownJob) {
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -9,13 +9,13 @@
 use buckthornfall_platform::{deployment, servers, store as wire};
 use buckthornfall_proto::{
     ids::ServerId,
-    messages::{JobRow, LeavingRow, MemberRow, SuspectRow},
+    messages::{JobRow, LeavingRow, LimitRow, MemberRow, SuspectRow},
 };
 use log::{info, warn};
 use rustc_hash::FxHashSet;
 use tokio::time::sleep;
 
-use super::{clock, node::Node, rows};
+use super::{clock, node::Node, permits, rows};
 
 /// Minimum interval between two polls of one table, so that changes arrive in batches.
 pub const FEED_INTERVAL: Duration = Duration::from_millis(25);
@@ -208,6 +208,12 @@
             }
             None => drop(known.remove(server)),
         }
+    } else if let Some(server) = key.strip_prefix(rows::LIMIT_PREFIX) {
+        node.limit_rows.borrow_mut().remove(server);
+        if let Some(limit) = rows::decode::<LimitRow>(row) {
+            node.limit_rows.borrow_mut().insert(server.to_owned(), clock::now());
+            permits::on_row(node, server, &limit);
+        }
     } else if key == rows::PLAN_KEY {
         if let Some(plan) = rows::decode(row) {
             let plan = buckthornfall_core::weights::Plan::from_row(plan);
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -5,6 +5,7 @@
 use buckthornfall_core::{
     backends::{Backend, Ended, ServerQuery},
     desired::{Route, RouteKind},
+    permits::PermitClass,
     Now,
 };
 use buckthornfall_platform::headers;
@@ -20,6 +21,7 @@
     clock,
     http::{Connection, Error},
     node::Node,
+    permits::{self, Permit},
     responses,
 };
 
@@ -34,6 +36,8 @@
 const MAX_REFUSALS: usize = 4;
 /// Timeout of a request that states no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Latency objective of a route that does not set one.
+const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(200);
 /// Time reserved for sending the response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 
@@ -90,7 +94,11 @@
     let id = header_text(&head.headers, &headers::ATTEMPT).to_owned();
     let deadline = request_deadline(route, &head.headers);
     let service = route.target(fingerprint(&[id.as_bytes()])).clone();
-    let mut tried: Vec<ServerId> = Vec::new();
+    let class = PermitClass::caller(route.priority);
+    // Servers that were tried, or whose request limit does not admit the request.
+    let mut excluded: Vec<ServerId> = Vec::new();
+    let mut tries = 0;
+    let mut permit_delay: Option<Duration> = None;
     let mut runs = 0;
     let mut last_response = None;
     let started = clock::now();
@@ -111,14 +119,31 @@
         if remaining.is_zero() {
             break give_up(runs, last_response, StatusCode::GATEWAY_TIMEOUT, "out of time");
         }
-        let query = ServerQuery { service: &service, location: &node.location, tried: &tried };
+        let query =
+            ServerQuery { service: &service, location: &node.location, tried: &excluded, class };
         let chosen = node.choose_server(query);
-        let Some(server) = chosen.filter(|_| tried.len() < MAX_REFUSALS + runs as usize) else {
-            break give_up(runs, last_response, StatusCode::BAD_GATEWAY, "no server takes it");
+        let Some(server) = chosen.filter(|_| tries < MAX_REFUSALS + runs as usize) else {
+            break match permit_delay {
+                Some(delay) if runs == 0 => full_response(responses::not_run_until(
+                    "the servers are at their request limits",
+                    delay,
+                )),
+                _ => give_up(runs, last_response, StatusCode::BAD_GATEWAY, "no server takes it"),
+            };
         };
-        tried.push(server.id.clone());
+        let patience = permit_patience(node, route, query, remaining);
+        excluded.push(server.id.clone());
+        let permit = match permits::acquire(node, &server, &id, class, patience).await {
+            Ok(permit) => permit,
+            Err(denied) => {
+                let delay = denied.retry_after;
+                permit_delay = Some(permit_delay.map_or(delay, |shortest| shortest.min(delay)));
+                continue;
+            }
+        };
+        tries += 1;
         let is_last = runs + 1 >= route.max_attempts;
-        let end = attempt(node, route, head, body, &server, deadline, is_last).await;
+        let end = attempt(node, route, head, body, permit, deadline, is_last).await;
         let (outcome, next) = match end {
             AttemptOutcome::Response(response) => {
                 node.suspects.borrow_mut().on_answer(request_fingerprint);
@@ -143,7 +168,7 @@
                 (failure.reason, next)
             }
         };
-        info!(request = id.as_str(), route = route.name.as_str(), server = server.id.as_str(), tries = tried.len(),
+        info!(request = id.as_str(), route = route.name.as_str(), server = server.id.as_str(), tries,
             left_ms = remaining.as_millis() as u64, outcome; "request_sent");
         if let Some(response) = next {
             break response;
@@ -155,7 +180,7 @@
     let status = response.status().as_u16();
     metrics::counter!("requests_total", "route" => route.name.clone(), "status" => status.to_string())
         .increment(1);
-    info!(request = id.as_str(), route = route.name.as_str(), status, tries = tried.len(), runs,
+    info!(request = id.as_str(), route = route.name.as_str(), status, tries, runs,
         took_ms = took.as_millis() as u64; "request_answered");
     response
 }
@@ -174,6 +199,20 @@
     }
 }
 
+/// Returns how long a request may wait for a permit of a limited server: not at all if a server
+/// without a limit could take it, else until half of its latency objective has passed.
+fn permit_patience(
+    node: &Node,
+    route: &Route,
+    query: ServerQuery<'_>,
+    remaining: Duration,
+) -> Duration {
+    if node.backends.borrow().has_unlimited(clock::now(), query) {
+        return Duration::ZERO;
+    }
+    route.objective.unwrap_or(DEFAULT_OBJECTIVE).min(remaining) / 2
+}
+
 fn request_deadline(route: &Route, header_map: &HeaderMap) -> Now {
     let stated =
         header_text(header_map, &headers::DEADLINE).parse().ok().map(Duration::from_millis);
@@ -187,10 +226,11 @@
     route: &Route,
     head: &request::Parts,
     body: &Bytes,
-    server: &Backend,
+    permit: Permit,
     deadline: Now,
     is_last: bool,
 ) -> AttemptOutcome {
+    let server = permit.server().clone();
     let remaining = deadline.saturating_sub(clock::now());
     let service_time =
         node.backends.borrow().service_time(clock::now(), &server.id).unwrap_or_default();
@@ -202,7 +242,7 @@
     };
     let started = clock::now();
     let guard = AttemptGuard::new(node, &server.id, deadline);
-    let end = timeout(attempt_timeout, exchange(node, route, head, body, server, remaining)).await;
+    let end = timeout(attempt_timeout, exchange(node, route, head, body, permit, remaining)).await;
     let now = clock::now();
     let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
     match end {
@@ -233,12 +273,13 @@
     route: &Route,
     head: &request::Parts,
     body: &Bytes,
-    server: &Backend,
+    permit: Permit,
     remaining: Duration,
 ) -> Result<(Response<Received>, Connection), Error> {
-    let mut conn = node.server_pool.get(server.addr, CONNECT_TIMEOUT.min(remaining)).await?;
-    let response = conn.send(build_request(head, body, server, remaining)).await?;
-    node.on_response(&server.id, server.started_ms, &response);
+    let (server, sent_at) = (permit.server().clone(), permit.sent_at());
+    let mut conn = node.servers.get(permit, CONNECT_TIMEOUT.min(remaining)).await?;
+    let response = conn.send(build_request(head, body, &server, remaining)).await?;
+    node.on_response(&server.id, server.started_ms, sent_at, &response);
     let is_streaming = route.kind == RouteKind::Stream && response.status() == StatusCode::OK;
     let response = if is_streaming {
         response.map(Received::Streaming)
@@ -294,7 +335,7 @@
     // Without the id, a response on a reused connection may belong to an earlier request.
     if not_run && (echoed || !conn.is_reused()) {
         guard.end(Ended::Refused);
-        node.server_pool.put(conn);
+        node.servers.put(conn);
         return AttemptOutcome::NotRun(format!("refused with {}", status.as_u16()));
     }
     let has_proof = echoed && response.headers().contains_key(headers::PROOF);
@@ -312,7 +353,7 @@
     let is_faulty = failed && status != StatusCode::GATEWAY_TIMEOUT;
     let body = match body {
         Received::Full(body) => {
-            node.server_pool.put(conn);
+            node.servers.put(conn);
             guard.end(if is_faulty { Ended::Erred } else { Ended::Answered(took) });
             ResponseBody::full(body)
         }
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -12,14 +12,13 @@
     desired::{Desired, InForce},
     job::JobId,
     members::Members,
-    rate_limit::{RateLimits, StatedRate},
     readiness::Readiness,
     store::{RowKey, RowVersion, StoreTx, TxEnd},
     suspects::Suspects,
     weights::Plan,
     Now,
 };
-use buckthornfall_platform::{headers, limits, settings::NodeSettings};
+use buckthornfall_platform::{headers, settings::NodeSettings};
 use buckthornfall_proto::{
     ids::{Fingerprint, ServerId},
     messages::{JobRow, JobState, LeavingRow, MemberState, SuspectRow},
@@ -31,7 +30,14 @@
 use stakker::{Actor, Deferrer, Stakker};
 use tokio::{sync::Notify, time::sleep};
 
-use super::{clock, http::Pool, rows, runner::Runner, store::Store, weights::WeightActor};
+use super::{
+    clock,
+    permits::{self, ServerClient},
+    rows,
+    runner::Runner,
+    store::Store,
+    weights::WeightActor,
+};
 
 /// A job row that this daemon has read or written.
 #[derive(Debug, Clone)]
@@ -68,16 +74,16 @@
     settings: RefCell<Rc<NodeSettings>>,
     pub location: Location,
     pub store: Store,
-    /// Connections to backend servers.
-    pub server_pool: Pool,
+    pub servers: ServerClient,
     pub metrics: PrometheusHandle,
     pub desired: RefCell<InForce>,
     pub backends: RefCell<Backends>,
     pub members: RefCell<Members>,
     pub suspects: RefCell<Suspects>,
-    pub rate_limits: RefCell<RateLimits>,
     /// Servers with a leaving row in the store, with the time at which the row was read.
     pub leaving_rows: RefCell<FxHashMap<ServerId, Now>>,
+    /// Servers with a limit row in the store, with the time at which the row was read.
+    pub limit_rows: RefCell<FxHashMap<ServerId, Now>>,
     pub jobs: RefCell<FxHashMap<JobId, KnownJob>>,
     /// Jobs that are being read from the store.
     pub loading: RefCell<FxHashSet<JobId>>,
@@ -105,14 +111,14 @@
         Rc::new(Node {
             store: Store::new(settings.store),
             location,
-            server_pool: Pool::default(),
+            servers: ServerClient::default(),
             metrics,
             desired: RefCell::default(),
             backends: RefCell::default(),
             suspects: RefCell::default(),
-            rate_limits: RefCell::default(),
             leaving_rows: RefCell::default(),
             members: RefCell::new(Members::new(settings.host.clone())),
+            limit_rows: RefCell::default(),
             jobs: RefCell::default(),
             loading: RefCell::default(),
             plan: RefCell::default(),
@@ -190,13 +196,19 @@
 
     /// Checks the head of a server's response for its request limit and for the announcement that
     /// the server is leaving. `started_ms` is the start time of the server that the request was sent
-    /// to.
-    pub fn on_response<B>(self: &Rc<Node>, server: &str, started_ms: u64, response: &Response<B>) {
+    /// to at `sent_at`.
+    pub fn on_response<B>(
+        self: &Rc<Node>,
+        server: &str,
+        started_ms: u64,
+        sent_at: Now,
+        response: &Response<B>,
+    ) {
         // A 421 may come from another server that now has the address of a server that is gone.
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
-        self.on_stated_rate(server, started_ms, limits::stated_rate(response.headers()));
+        permits::on_response(self, server, started_ms, sent_at, response);
         if !announces_leaving(response.headers()) {
             return;
         }
@@ -208,14 +220,6 @@
         }
     }
 
-    fn on_stated_rate(&self, server: &str, started_ms: u64, stated: StatedRate) {
-        let mut rate_limits = self.rate_limits.borrow_mut();
-        let change = rate_limits.on_response(clock::now(), server, started_ms, stated);
-        if let Some(change) = change {
-            info!(server, started_ms, change:? = change; "server_limit");
-        }
-    }
-
     /// Stores the leaving row of a server, for the other daemons and for later starts of this one.
     async fn share_leaving(&self, server: &str, started_ms: u64) {
         let key = RowKey::new(rows::FLEET, "", &format!("{}{server}", rows::LEAVING_PREFIX));
@@ -260,7 +264,7 @@
 
     /// Chooses the server for a request, preferring servers with an idle connection.
     pub fn choose_server(&self, query: ServerQuery<'_>) -> Option<Backend> {
-        let is_connected = |entry: &Backend| self.server_pool.has_idle(entry.addr);
+        let is_connected = |entry: &Backend| self.servers.has_idle(entry.addr);
         self.backends.borrow().choose(clock::now(), query, is_connected).cloned()
     }
 
--- a/crates/daemon/src/hosted/owners.rs
+++ b/crates/daemon/src/hosted/owners.rs
@@ -28,7 +28,7 @@
         if node.store.is_unavailable() {
             continue;
         }
-        node.server_pool.sweep();
+        node.servers.sweep();
         node.backends.borrow_mut().expire(node.store.steady_since(), clock::now());
         for (id, row, version) in orphans(&node) {
             let owner = node.settings().host.clone();
--- a/crates/daemon/src/hosted/peers.rs
+++ b/crates/daemon/src/hosted/peers.rs
@@ -1,24 +1,32 @@
-//! Relays store calls for other daemons whose own calls the store refuses.
+//! Handles the messages of other daemons: relays store calls whose sender the store refuses, and
+//! issues permits.
 
 use std::{io, rc::Rc};
 
 use buckthornfall_proto::messages::PeerMessage;
 
-use super::{node::Node, server};
+use super::{node::Node, permits, server};
 use crate::peers::{self, MessageHandler};
 
 #[derive(Clone)]
-struct StoreRelay(Rc<Node>);
+struct PeerHandler(Rc<Node>);
 
-impl MessageHandler for StoreRelay {
+impl MessageHandler for PeerHandler {
     async fn handle(&self, message: PeerMessage) -> Option<PeerMessage> {
-        let PeerMessage::StoreCall(relayed) = message else { return None };
-        Some(PeerMessage::StoreReply(self.0.store.relay_for_peer(relayed).await))
+        match message {
+            PeerMessage::StoreCall(relayed) => {
+                Some(PeerMessage::StoreReply(self.0.store.relay_for_peer(relayed).await))
+            }
+            PeerMessage::PermitRequest(req) => {
+                Some(PeerMessage::PermitReply(permits::handle(&self.0, req).await))
+            }
+            _ => None,
+        }
     }
 }
 
 /// Accepts connections of other daemons.
 pub async fn listen(node: &Rc<Node>) -> io::Result<()> {
-    let handler = StoreRelay(Rc::clone(node));
+    let handler = PeerHandler(Rc::clone(node));
     server::accept(node.settings().peers, move |socket| peers::serve(socket, handler.clone())).await
 }
--- a/crates/daemon/src/hosted/responses.rs
+++ b/crates/daemon/src/hosted/responses.rs
@@ -9,6 +9,9 @@
 /// server needs to take over the work.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Lowest delay that a refusal states.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Creates a response without a body.
 pub fn status(status: StatusCode) -> Response<Bytes> {
     let mut response = Response::new(Bytes::new());
@@ -25,8 +28,13 @@
 
 /// Creates a refusal: the request was not run and will not be.
 pub fn not_run(reason: &str) -> Response<Bytes> {
+    not_run_until(reason, RETRY_AFTER)
+}
+
+/// Creates a refusal of a request that may be served after `delay`.
+pub fn not_run_until(reason: &str, delay: Duration) -> Response<Bytes> {
     let mut response = error(StatusCode::SERVICE_UNAVAILABLE, reason);
-    let after = format!("{:.1}", RETRY_AFTER.as_secs_f64());
+    let after = format!("{:.1}", delay.max(MIN_RETRY_AFTER).as_secs_f64());
     let after = after.parse().expect("a number is a header value");
     response.headers_mut().insert(header::RETRY_AFTER, after);
     response
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -25,6 +25,8 @@
 pub const SUSPECT_PREFIX: &str = "suspect/";
 /// Key prefix of servers that announced that they are leaving.
 pub const LEAVING_PREFIX: &str = "leaving/";
+/// Key prefix of the request limits that servers stated.
+pub const LIMIT_PREFIX: &str = "limit/";
 /// Key of the plan.
 pub const PLAN_KEY: &str = "plan";
 
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -258,10 +258,9 @@
         let req = RunRequest {
             run,
             job: job.to_owned(),
-            server,
-            addr: entry.addr,
-            started_ms: entry.started_ms,
+            server: entry,
             host,
+            priority: policy.priority,
             sample: sample.clone(),
             after,
             deadline: policy.give_up_at,
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -5,13 +5,14 @@
 use buckthornfall_core::{
     backends::{Ended, ServerQuery},
     job::{ScoreEnd, Scorer},
+    permits::PermitClass,
 };
 use buckthornfall_platform::headers;
 use buckthornfall_proto::digest::fingerprint;
 use http::{header, Request, StatusCode};
 use log::info;
 
-use super::{clock, node::Node};
+use super::{clock, node::Node, permits};
 
 /// Timeout of a scoring request whose route does not set one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -21,6 +22,9 @@
 /// Timeout of connecting to a scoring server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum wait for a permit of a limited scoring server.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(1_000);
+
 /// Sends one scoring request; `tries` counts the attempts before it.
 pub async fn request_score(node: &Rc<Node>, scorer: &Scorer, tries: u32) -> ScoreEnd {
     let (end, server, detail) = exchange(node, scorer, tries).await;
@@ -28,6 +32,7 @@
         ScoreEnd::Scored(_) => "scored",
         ScoreEnd::Failed { .. } => "failed",
         ScoreEnd::NoAnswer => "no_answer",
+        ScoreEnd::Denied { .. } => "denied",
     };
     metrics::counter!("scores_total", "outcome" => outcome).increment(1);
     info!(request = scorer.id.as_str(), server, outcome:? = end, detail; "scored");
@@ -35,7 +40,7 @@
 }
 
 async fn exchange(node: &Rc<Node>, scorer: &Scorer, tries: u32) -> (ScoreEnd, String, String) {
-    let (chosen, most, attempt_timeout) = {
+    let (chosen, most, class, attempt_timeout) = {
         let path = scorer.path.split('?').next().unwrap_or_default();
         let desired = node.desired();
         let route = desired.as_ref().and_then(|desired| desired.route(&scorer.host, path));
@@ -43,16 +48,24 @@
             return (ScoreEnd::NoAnswer, String::new(), "no route".to_owned());
         };
         let service = route.target(fingerprint(&[scorer.id.as_bytes()]));
-        let query = ServerQuery { service, location: &node.location, tried: &[] };
+        let class = PermitClass::job(route.priority);
+        let query = ServerQuery { service, location: &node.location, tried: &[], class };
         let chosen = node.choose_server(query);
         let route_timeout = route.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let attempt_timeout =
             route_timeout.min(route_timeout / FIRST_ATTEMPT_DIVISOR * 2u32.pow(tries.min(4)));
-        (chosen, route.max_attempts, attempt_timeout)
+        (chosen, route.max_attempts, class, attempt_timeout)
     };
     let Some(server) = chosen else {
         return (ScoreEnd::NoAnswer, String::new(), "no server".to_owned());
     };
+    let permit = match permits::acquire(node, &server, &scorer.id, class, PERMIT_PATIENCE).await {
+        Ok(permit) => permit,
+        Err(e) => {
+            let retry_after = e.retry_after;
+            return (ScoreEnd::Denied { retry_after }, server.id, e.to_string());
+        }
+    };
     let message = Request::post(&scorer.path)
         .header(header::HOST, &scorer.host)
         .header(headers::ATTEMPT, &scorer.id)
@@ -63,10 +76,9 @@
         Ok(message) => message,
         Err(e) => return (ScoreEnd::Failed { most }, server.id, e.to_string()),
     };
-    let started = clock::now();
+    let started = permit.sent_at();
     node.backends.borrow_mut().started(&server.id);
-    let response =
-        node.server_pool.call(server.addr, message, CONNECT_TIMEOUT, attempt_timeout).await;
+    let response = node.servers.call(permit, message, CONNECT_TIMEOUT, attempt_timeout).await;
     let now = clock::now();
     let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
     let ended = |outcome| node.backends.borrow_mut().ended(now, &server.id, outcome);
@@ -77,7 +89,7 @@
             return (ScoreEnd::NoAnswer, server.id, e.to_string());
         }
     };
-    node.on_response(&server.id, server.started_ms, &response);
+    node.on_response(&server.id, server.started_ms, started, &response);
     let echoed =
         response.headers().get(headers::ATTEMPT).is_some_and(|id| id == scorer.id.as_str());
     let proof = response.headers().get(headers::PROOF).and_then(|value| value.to_str().ok());
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -1,9 +1,11 @@
 //! One run of a sample: the request to a model server and its response, a stream of events.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use buckthornfall_core::{
+    backends::Backend,
     job::{RunEnd, RunId, SampleSpec},
+    permits::PermitClass,
     progress::Progress,
     Now,
 };
@@ -14,10 +16,12 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use super::{clock, http::Connection, node::Node};
+use super::{clock, http::Connection, node::Node, permits};
 
 /// Timeout of connecting to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum wait for a permit of a limited server; meanwhile the run holds a slot of it.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(500);
 /// Timeout of the response head; leaves time for a load of weights and for a full batch that runs
 /// before the request.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -30,11 +34,10 @@
 pub struct RunRequest {
     pub run: RunId,
     pub job: String,
-    pub server: String,
-    pub addr: SocketAddr,
-    /// Start time of the server that the run is meant for, in Unix milliseconds.
-    pub started_ms: u64,
+    pub server: Backend,
     pub host: String,
+    /// Priority of the job's route; 0 is the highest.
+    pub priority: u8,
     pub sample: SampleSpec,
     /// Id of the last event received in earlier runs; `None` if there is none.
     pub after: Option<u64>,
@@ -78,7 +81,20 @@
     req: &RunRequest,
     run_log: &mut RunLog,
 ) -> Result<RunEnd, Failure> {
-    let mut conn = match node.server_pool.get(req.addr, CONNECT_TIMEOUT).await {
+    let permit = match permits::acquire(
+        node,
+        &req.server,
+        &req.sample.id,
+        PermitClass::job(req.priority),
+        PERMIT_PATIENCE,
+    )
+    .await
+    {
+        Ok(permit) => permit,
+        Err(e) => return fail(RunEnd::Denied, e),
+    };
+    let sent_at = permit.sent_at();
+    let mut conn = match node.servers.get(permit, CONNECT_TIMEOUT).await {
         Ok(conn) => conn,
         Err(e) => return fail(RunEnd::Broken, e),
     };
@@ -92,7 +108,7 @@
         Ok(Err(e)) => return fail(RunEnd::Broken, e),
         Err(_) => return fail(RunEnd::Broken, "no response head within the timeout"),
     };
-    node.on_response(&req.server, req.started_ms, &response);
+    node.on_response(&req.server.id, req.server.started_ms, sent_at, &response);
     check_id(&response, &req.sample.id)?;
     if response.status() != StatusCode::OK {
         return read_refusal(node, conn, response).await;
@@ -114,7 +130,7 @@
     if run_log.events == 0 && req.after.is_none() {
         return fail(RunEnd::Broken, "the stream has no events");
     }
-    node.server_pool.put(conn);
+    node.servers.put(conn);
     Ok(RunEnd::Complete)
 }
 
@@ -128,7 +144,7 @@
         .header(header::HOST, &req.host)
         .header(headers::ATTEMPT, &req.sample.id)
         .header(headers::DEADLINE, remaining.to_string())
-        .header(headers::EXPECT_SERVER, &req.server);
+        .header(headers::EXPECT_SERVER, &req.server.id);
     if let Some(after) = req.after {
         message = message.header(headers::LAST_EVENT, after.to_string());
     }
@@ -166,7 +182,7 @@
         _ => RunEnd::Broken,
     };
     if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, conn.read(response)).await {
-        node.server_pool.put(conn);
+        node.servers.put(conn);
     }
     fail(end, status)
 }
@@ -288,7 +304,7 @@
             run: req.run,
             job: req.job.clone(),
             sample: req.sample.id.clone(),
-            server: req.server.clone(),
+            server: req.server.id.clone(),
             after: req.after,
             events: 0,
             started: clock::now(),
--- a/crates/daemon/src/hosted/weights.rs
+++ b/crates/daemon/src/hosted/weights.rs
@@ -5,6 +5,7 @@
 use buckthornfall_core::{
     backends::Backend,
     lease::{Lease, LeaseAction},
+    permits::PermitClass,
     store::{RowKey, StoreFailure, StoreTx, StoredRow, TxEnd},
     table::{ReadResult, TableError, TxnResult},
     weights::{
@@ -25,7 +26,13 @@
 use stakker::{after, CX};
 use tokio::time::sleep;
 
-use super::{clock, http::Error, node::Node, rows};
+use super::{
+    clock,
+    http::Error,
+    node::Node,
+    permits::{self, Denied, Permit},
+    rows,
+};
 
 /// Name of the weight controller's lease.
 const LEASE_NAME: &str = "weights";
@@ -37,6 +44,9 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Timeout for connecting to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum wait for a permit of a limited server. An update needs two permits within
+/// `buckthornfall_core::weights::REPORT_TIMEOUT`.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(1_100);
 /// Age after which an order record is removed.
 const ORDER_RECORD_TTL: Duration = Duration::from_secs(60);
 /// Maximum order records removed in one transaction. The store limits a transaction to 100 entries,
@@ -149,10 +159,11 @@
         let backends = node.backends.borrow();
         self.weights.tick(clock::now(), fence, &models, &backends, &mut out);
         drop(backends);
-        out.into_iter().for_each(|action| self.run_action(fence, action));
+        out.into_iter().for_each(|action| self.run_action(fence, action, None));
     }
 
-    fn run_action(&mut self, fence: Fence, action: WeightAction) {
+    /// Runs an action; an order is sent with `permit`.
+    fn run_action(&mut self, fence: Fence, action: WeightAction, permit: Option<Permit>) {
         let node = Rc::clone(&self.node);
         match action {
             WeightAction::RequestReport { server } => {
@@ -162,20 +173,29 @@
                 let version = order_records.is_required().then(|| order_records.version(&server));
                 let host = self.host.clone();
                 tokio::task::spawn_local(async move {
+                    // An order must follow its record and report at once, so it gets its permit first.
+                    let Ok((report_permit, order_permit)) = acquire_permits(&node, &entry).await
+                    else {
+                        node.with_weight_controller(move |actor, _| {
+                            actor.on_report(&entry.id, None, clock::now(), None, None);
+                        });
+                        return;
+                    };
                     let started = clock::now();
                     let record =
                         async { record_order(&node, &entry.id, host, started, version?).await };
-                    let (report, stored) = tokio::join!(request_report(&node, &entry), record);
+                    let report = request_report(&node, &entry, report_permit);
+                    let (report, stored) = tokio::join!(report, record);
                     node.with_weight_controller(move |actor, _| {
-                        actor.on_report(&entry.id, report, started, stored)
+                        actor.on_report(&entry.id, report, started, stored, Some(order_permit))
                     });
                 });
             }
             WeightAction::Send { server, order } => {
                 let entry = node.backends.borrow().get(&server).cloned();
-                let Some(entry) = entry else { return };
+                let (Some(entry), Some(permit)) = (entry, permit) else { return };
                 tokio::task::spawn_local(async move {
-                    let end = send_order(&node, &entry, &order).await;
+                    let end = send_order(&node, &entry, &order, permit).await;
                     node.with_weight_controller(move |actor, _| {
                         actor.weights.on_order(clock::now(), fence, &entry.id, end);
                     });
@@ -189,14 +209,15 @@
         }
     }
 
-    /// Handles a server's report, and the record of the order that may follow if such records are
-    /// required.
+    /// Handles a server's report, with the record of the order that may follow if such records are
+    /// required, and the permit of that order.
     fn on_report(
         &mut self,
         server: &str,
         report: Option<OrderReport>,
         started: Now,
         record: Option<OrderRecord>,
+        permit: Option<Permit>,
     ) {
         let now = clock::now();
         let is_recorded = self.weights.order_records.on_record(now, server, started, record);
@@ -204,8 +225,8 @@
         let report = report.filter(|_| is_recorded);
         let mut out = Vec::new();
         self.weights.on_report(now, fence, server, report.as_ref(), &mut out);
-        if let Some(fence) = fence {
-            out.into_iter().for_each(|action| self.run_action(fence, action));
+        if let (Some(fence), Some(order)) = (fence, out.pop()) {
+            self.run_action(fence, order, permit);
         }
     }
 
@@ -239,21 +260,28 @@
     }
 }
 
+/// Acquires the permits of a report and of the order that may follow it.
+async fn acquire_permits(node: &Node, server: &Backend) -> Result<(Permit, Permit), Denied> {
+    let acquire = || permits::acquire(node, server, "", PermitClass::CONTROL, PERMIT_PATIENCE);
+    Ok((acquire().await?, acquire().await?))
+}
+
 /// Sends a request to a server. Its response may announce that the server is leaving.
 async fn call(
     node: &Rc<Node>,
     server: &Backend,
     req: Request<Bytes>,
+    permit: Permit,
 ) -> Result<Response<Bytes>, Error> {
-    let response =
-        node.server_pool.call(server.addr, req, CONNECT_TIMEOUT, RESPONSE_TIMEOUT).await?;
-    node.on_response(&server.id, server.started_ms, &response);
+    let sent_at = permit.sent_at();
+    let response = node.servers.call(permit, req, CONNECT_TIMEOUT, RESPONSE_TIMEOUT).await?;
+    node.on_response(&server.id, server.started_ms, sent_at, &response);
     Ok(response)
 }
 
-async fn request_report(node: &Rc<Node>, server: &Backend) -> Option<OrderReport> {
+async fn request_report(node: &Rc<Node>, server: &Backend, permit: Permit) -> Option<OrderReport> {
     let req = servers::report_request(server);
-    let response = call(node, server, req).await;
+    let response = call(node, server, req, permit).await;
     let report = match &response {
         Ok(response) => servers::report(response).unwrap_or_default(),
         Err(_) => None,
@@ -263,9 +291,9 @@
     report
 }
 
-async fn send_order(node: &Rc<Node>, server: &Backend, order: &Order) -> OrderEnd {
+async fn send_order(node: &Rc<Node>, server: &Backend, order: &Order, permit: Permit) -> OrderEnd {
     let req = servers::order(server, &node.settings().host, order);
-    let response = call(node, server, req).await;
+    let response = call(node, server, req, permit).await;
     let end = servers::order_end(response.as_ref().ok());
     info!(server = server.id.as_str(), model = order.model.as_str(), version = order.version,
         accepted = order.accepted, fence = order.fence, outcome:? = end; "weights_ordered");
