Issue permits in a state machine, with a property test in virtual time

The exchange between a daemon and the issuer of a server was written in the daemon's tasks and could not be tested under faults. It is a state machine of core now (permits.rs, permits/issuer.rs): who is asked, what is passed on, who issues in whose place.

The test simulates up to 60 daemons that join, crash by halves, freeze, are cut off and lose up to a tenth of their messages, with the store away at times and limits that rise, fall, reach zero and return. Counted per server and 4 s window, without daemons that were disturbed in the last 4 s.

- two issuers at once: a lost message made a daemon issue in place of a live one at the full rate (47 requests, 44 allowed).
Each live daemon before it that does not reply halves its rate now.
- a fall of a limit that nobody passed on while the store was away (7 requests, 5 allowed): the daemon that sees a change tells the issuer directly, again until the row is written.
- a daemon that froze took buffered messages for fresh ones and issued at a limit of 51/s where the server stated zero (14 requests, 5 allowed): messages carry the time by the store's clock, not an age.
Statements are ordered by when their requests were sent; of two whose order is unknown the lower counts.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns the row of a daemon, live or not.
+    pub fn get(&self, host: &str) -> Option<&MemberRow> {
+        self.observed.get(host).map(|observed| &observed.row)
+    }
+
     /// Returns whether a daemon is writing its heartbeats.
     pub fn is_live(&self, now: Now, host: &str) -> bool {
         self.observed.get(host).is_some_and(|observed| {
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -5,33 +5,30 @@
 //! than the rate lets through, the classes of requests share it by priority, so that urgent ones go
 //! first and none starves. A request that would wait longer than its patience is denied at once.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+mod issuer;
+
+use std::time::Duration;
 
 pub use buckthornfall_proto::messages::PermitSource;
 use buckthornfall_proto::{
     digest::{fingerprint, rendezvous_rank},
     ids::{HostId, ServerId},
+    messages::{PermitReply, PermitRequest},
 };
 use rustc_hash::FxHashMap;
 
-use crate::{admission::TokenBucket, backends::Location, members::Members, Now};
-
-/// Lowest issued rate, in requests per second. A server that states zero still gets a request now
-/// and then, as only its responses show that the limit is withdrawn.
-const MIN_RATE: f64 = 0.2;
-/// Highest issued rate, in requests per second.
-const MAX_RATE: f64 = 1e6;
-/// Time over which unused permits accumulate.
-const BURST_TIME: Duration = Duration::from_millis(250);
-/// Maximum number of requests that wait for permits of one server.
-const MAX_WAITING: usize = 256;
-/// Time after which a budget that is not used is forgotten.
-const IDLE_TTL: Duration = Duration::from_secs(600);
+pub use self::issuer::{Issue, Issuer, Ticket};
+use crate::{backends::Location, members::Members, rate_limit::Limit, store::StoreClock, Now};
+
 /// Time for which an issuer that did not reply is not asked again.
 const FAILED_ISSUER_COOLDOWN: Duration = Duration::from_secs(1);
+/// Maximum number of issuers asked for one permit.
+const MAX_ISSUERS: u32 = 2;
+/// Share of the stated rate that a daemon issues for each live one that ranks before it and does not
+/// reply: others may still reach that one, so the shares of all issuers must stay bounded.
+const DEPUTY_SHARE: f64 = 0.5;
+/// Delay of a denied request if no issuer is known or replies.
+const NO_ISSUER_DELAY: Duration = Duration::from_millis(500);
 
 /// Class of a request; classes compete for the permits of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -72,246 +69,288 @@
     pub next: Duration,
 }
 
-/// Number of a waiting request.
-pub type Ticket = u64;
+impl Verdict {
+    /// Creates the reply to another daemon.
+    pub fn reply(self) -> PermitReply {
+        let next_ms = u32::try_from(self.next.as_millis()).unwrap_or(u32::MAX);
+        PermitReply { granted: self.granted, next_ms }
+    }
 
-/// What becomes of a request for a permit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Issue {
-    /// It is decided.
-    Decided(Verdict),
-    /// It waits; [`Issuer::poll`] decides it.
-    Waiting(Ticket),
+    /// Decodes the reply of another daemon.
+    pub fn from_reply(reply: &PermitReply) -> Verdict {
+        let next = Duration::from_millis(u64::from(reply.next_ms));
+        Verdict { granted: reply.granted, next }
+    }
 }
 
-#[derive(Debug)]
-struct Waiting {
-    ticket: Ticket,
-    expires_at: Now,
+/// A daemon that issues permits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct IssuerHost {
+    /// Name of its host.
+    pub host: HostId,
+    /// Address for messages of other daemons.
+    pub peers: String,
 }
 
-/// Waiting requests of one class.
-#[derive(Debug, Default)]
-struct Queue {
-    waiting: VecDeque<Waiting>,
-    /// Permits issued to the queue divided by its weight; the lowest is served next.
-    pass: f64,
+/// Number of a request for a permit, unique within the process.
+pub type PermitId = u64;
+
+/// Sender of a request for a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// This daemon.
+    Own,
+    /// Another daemon.
+    Peer {
+        /// Whether it passed on the request of a third daemon.
+        relayed: bool,
+    },
 }
 
-/// Permits of one server.
-#[derive(Debug)]
-struct Budget {
-    rate: f64,
-    bucket: TokenBucket,
-    queues: BTreeMap<PermitClass, Queue>,
-    /// `Queue::pass` of the queue that was served last.
-    pass: f64,
-    used_at: Now,
+/// A request for a permit to send one request to a limited server.
+#[derive(Debug, Clone, Copy)]
+pub struct PermitDemand<'a> {
+    /// The server.
+    pub server: &'a str,
+    /// Its limit, as known to the sender.
+    pub limit: Limit,
+    /// Class in which the request competes.
+    pub class: PermitClass,
+    /// Maximum wait for the permit.
+    pub patience: Duration,
+    /// Sender of the request.
+    pub origin: Origin,
 }
 
-impl Budget {
-    /// Creates a budget without permits: another daemon may have issued the latest ones just now.
-    fn new(now: Now, rate: f64) -> Budget {
-        let bucket = TokenBucket::empty(now, rate, burst(rate));
-        Budget { rate, bucket, queues: BTreeMap::new(), pass: 0.0, used_at: now }
-    }
+/// What this daemon knows of the other daemons.
+#[derive(Debug, Clone, Copy)]
+pub struct PermitView<'a> {
+    /// Name of this host.
+    pub own_host: &'a str,
+    /// Liveness of the daemons.
+    pub members: &'a Members,
+    /// Location of the server; `None` if its entry is not known.
+    pub location: Option<&'a Location>,
+    /// Clock of the store.
+    pub clock: StoreClock,
+}
 
-    fn set_rate(&mut self, now: Now, rate: f64) {
-        if rate != self.rate {
-            self.rate = rate;
-            self.bucket.set_rate(now, rate, burst(rate));
-        }
-    }
+/// Action requested by [`Permits`].
+#[derive(Debug, Clone, PartialEq)]
+pub enum PermitAction {
+    /// Ask another daemon; [`Permits::on_reply`] takes its reply or the failure.
+    Ask {
+        /// The request for a permit.
+        id: PermitId,
+        /// The daemon.
+        issuer: IssuerHost,
+        /// The message.
+        req: PermitRequest,
+    },
+    /// A request for a permit is decided.
+    Decided {
+        /// The request for a permit.
+        id: PermitId,
+        /// The decision.
+        verdict: Verdict,
+    },
+}
 
-    fn waiting(&self) -> usize {
-        self.queues.values().map(|queue| queue.waiting.len()).sum()
-    }
+#[derive(Debug)]
+struct Pending {
+    server: ServerId,
+    limit: Limit,
+    class: PermitClass,
+    patience: Duration,
+    origin: Origin,
+    /// The daemon that is asked.
+    asked: Option<HostId>,
+    /// Number of daemons that may still be asked.
+    asks_left: u32,
+}
 
-    /// Returns the wait of a further request of `class`, if no more urgent ones arrive.
-    fn expected_wait(&self, now: Now, class: PermitClass) -> Duration {
-        let own = self.queues.get(&class).map_or(0, |queue| queue.waiting.len()) + 1;
-        let ahead_of = |(other, queue): (&PermitClass, &Queue)| {
-            let waiting = queue.waiting.len() as f64;
-            if *other == class || other.source == PermitSource::Control {
-                waiting
-            } else if class.source == PermitSource::Control {
-                0.0
-            } else {
-                waiting.min(own as f64 * other.weight() / class.weight())
-            }
+/// Requests of this and other daemons for permits of limited servers.
+///
+/// All daemons rank the live ones alike and ask the first: those in the server's region rank first,
+/// as a cut between the regions then separates the daemons that cannot reach the server anyway. A
+/// daemon that is asked although it ranks another one first passes the request on once, so that
+/// daemons with different views do not both issue.
+#[derive(Debug, Default)]
+pub struct Permits {
+    issuer: Issuer,
+    pending: FxHashMap<PermitId, Pending>,
+    tickets: FxHashMap<Ticket, PermitId>,
+    last_id: PermitId,
+    failed_at: FxHashMap<HostId, Now>,
+}
+
+impl Permits {
+    /// Starts a request for a permit and returns its number.
+    pub fn request(
+        &mut self,
+        now: Now,
+        view: PermitView<'_>,
+        demand: PermitDemand<'_>,
+        out: &mut Vec<PermitAction>,
+    ) -> PermitId {
+        let PermitDemand { server, limit, class, patience, origin } = demand;
+        self.last_id += 1;
+        let id = self.last_id;
+        let server = server.to_owned();
+        let asks_left = match origin {
+            Origin::Own => MAX_ISSUERS,
+            Origin::Peer { relayed: false } => 1,
+            Origin::Peer { relayed: true } => 0,
         };
-        let ahead: f64 = self.queues.iter().map(ahead_of).sum();
-        self.bucket.wait(now, ahead + 1.0)
+        let pending = Pending { server, limit, class, patience, origin, asked: None, asks_left };
+        self.pending.insert(id, pending);
+        self.proceed(now, view, id, out);
+        id
     }
 
-    fn enqueue(&mut self, class: PermitClass, waiting: Waiting) {
-        let pass = self.pass;
-        let queue = self.queues.entry(class).or_default();
-        if queue.waiting.is_empty() {
-            queue.pass = queue.pass.max(pass);
+    /// Handles the reply of the daemon that was asked; `None` if it did not reply.
+    pub fn on_reply(
+        &mut self,
+        now: Now,
+        view: PermitView<'_>,
+        id: PermitId,
+        verdict: Option<Verdict>,
+        out: &mut Vec<PermitAction>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        let asked = pending.asked.take();
+        match (verdict, asked) {
+            (Some(verdict), _) => self.decide(id, verdict, out),
+            (None, asked) => {
+                self.failed_at.retain(|_, at| now.saturating_sub(*at) < FAILED_ISSUER_COOLDOWN);
+                self.failed_at.extend(asked.map(|host| (host, now)));
+                self.proceed(now, view, id, out);
+            }
         }
-        queue.waiting.push_back(waiting);
     }
 
-    /// Removes the request that is served next.
-    fn dequeue(&mut self) -> Option<(PermitClass, Waiting)> {
-        let waiting = self.queues.iter().filter(|(_, queue)| !queue.waiting.is_empty());
-        let is_control = |class: &PermitClass| class.source == PermitSource::Control;
-        let next = waiting.min_by(|(a, queue_a), (b, queue_b)| {
-            is_control(b).cmp(&is_control(a)).then(queue_a.pass.total_cmp(&queue_b.pass))
-        });
-        let class = *next?.0;
-        let queue = self.queues.get_mut(&class)?;
-        self.pass = queue.pass;
-        queue.pass += 1.0 / class.weight();
-        queue.waiting.pop_front().map(|waiting| (class, waiting))
+    /// Withdraws a request whose sender does not wait for it any more.
+    pub fn cancel(&mut self, id: PermitId) {
+        let Some(pending) = self.pending.remove(&id) else { return };
+        let ticket = self.tickets.iter().find(|(_, of)| **of == id).map(|(ticket, _)| *ticket);
+        if let Some(ticket) = ticket {
+            self.tickets.remove(&ticket);
+            self.issuer.cancel(&pending.server, ticket);
+        }
     }
 
-    fn poll(&mut self, now: Now, out: &mut Vec<(Ticket, Verdict)>) {
-        let mut expired = Vec::new();
-        for (class, queue) in &mut self.queues {
-            queue.waiting.retain(|waiting| {
-                let keep = waiting.expires_at > now;
-                if !keep {
-                    expired.push((*class, waiting.ticket));
-                }
-                keep
-            });
-        }
-        while self.waiting() > 0 && self.bucket.take(now, 1.0).is_ok() {
-            let Some((class, waiting)) = self.dequeue() else { break };
-            let next = self.expected_wait(now, class);
-            out.push((waiting.ticket, Verdict { granted: true, next }));
-            self.used_at = now;
-        }
-        for (class, ticket) in expired {
-            let next = self.expected_wait(now, class);
-            out.push((ticket, Verdict { granted: false, next }));
+    /// Decides the waiting requests that are due.
+    pub fn poll(&mut self, now: Now, out: &mut Vec<PermitAction>) {
+        let mut verdicts = Vec::new();
+        self.issuer.poll(now, &mut verdicts);
+        for (ticket, verdict) in verdicts {
+            if let Some(id) = self.tickets.remove(&ticket) {
+                self.decide(id, verdict, out);
+            }
         }
-        self.queues.retain(|_, queue| !queue.waiting.is_empty() || queue.pass > self.pass);
     }
 
-    /// Returns when `poll` has something to decide.
-    fn next_due(&self, now: Now) -> Option<Now> {
-        let waiting = self.queues.values().flat_map(|queue| &queue.waiting);
-        let expires_at = waiting.map(|waiting| waiting.expires_at).min()?;
-        Some(expires_at.min(now + self.bucket.wait(now, 1.0)))
+    /// Returns when [`Permits::poll`] has something to decide.
+    pub fn next_due(&self, now: Now) -> Option<Now> {
+        self.issuer.next_due(now)
     }
-}
 
-fn burst(rate: f64) -> f64 {
-    1.0 + rate * BURST_TIME.as_secs_f64()
-}
-
-/// Issues the permits of the servers that this daemon is responsible for.
-#[derive(Debug, Default)]
-pub struct Issuer {
-    budgets: FxHashMap<ServerId, Budget>,
-    last_ticket: Ticket,
-}
+    /// Returns the number of requests that wait for permits issued here.
+    pub fn waiting(&self) -> usize {
+        self.tickets.len()
+    }
 
-impl Issuer {
-    /// Handles a request for a permit of a server that takes `rate` requests per second. It waits
-    /// for at most `patience`.
-    pub fn request(
+    /// Asks the next daemon, or issues the permit here.
+    fn proceed(
         &mut self,
         now: Now,
-        server: &str,
-        rate: f64,
-        class: PermitClass,
-        patience: Duration,
-    ) -> Issue {
-        let rate = rate.clamp(MIN_RATE, MAX_RATE);
-        let budget =
-            self.budgets.entry(server.to_owned()).or_insert_with(|| Budget::new(now, rate));
-        budget.set_rate(now, rate);
-        let is_first = budget.waiting() == 0 || class.source == PermitSource::Control;
-        if is_first && budget.bucket.take(now, 1.0).is_ok() {
-            budget.used_at = now;
-            let next = budget.expected_wait(now, class);
-            return Issue::Decided(Verdict { granted: true, next });
-        }
-        let wait = budget.expected_wait(now, class);
-        if wait > patience || budget.waiting() >= MAX_WAITING {
-            return Issue::Decided(Verdict { granted: false, next: wait });
+        view: PermitView<'_>,
+        id: PermitId,
+        out: &mut Vec<PermitAction>,
+    ) {
+        let server = &self.pending[&id].server;
+        let issuer = self.choose_issuer(now, view, server);
+        let pending = self.pending.get_mut(&id).expect("callers pass a pending request");
+        let other = issuer.as_ref().filter(|issuer| issuer.host != view.own_host);
+        match (other, pending.origin) {
+            (Some(other), _) if pending.asks_left > 0 => {
+                pending.asks_left -= 1;
+                pending.asked = Some(other.host.clone());
+                let req = pending.message(now, view.clock);
+                out.push(PermitAction::Ask { id, issuer: other.clone(), req });
+            }
+            // Issuing here as well, without knowing that the issuer is gone, could exceed the limit.
+            (Some(_), Origin::Own) => self.deny(id, out),
+            (None, Origin::Own) if issuer.is_none() => self.deny(id, out),
+            _ => self.issue(now, view, id, out),
         }
-        self.last_ticket += 1;
-        let ticket = self.last_ticket;
-        budget.enqueue(class, Waiting { ticket, expires_at: now + patience });
-        Issue::Waiting(ticket)
     }
 
-    /// Withdraws a waiting request.
-    pub fn cancel(&mut self, server: &str, ticket: Ticket) {
-        let Some(budget) = self.budgets.get_mut(server) else { return };
-        for queue in budget.queues.values_mut() {
-            queue.waiting.retain(|waiting| waiting.ticket != ticket);
+    fn issue(&mut self, now: Now, view: PermitView<'_>, id: PermitId, out: &mut Vec<PermitAction>) {
+        let Pending { server, limit, class, patience, .. } = &self.pending[&id];
+        let rank = |host: &str, zone: &str| issuer_rank(view, server, host, zone);
+        let own_zone = view.members.get(view.own_host).map_or("", |row| row.zone.as_str());
+        let own_rank = rank(view.own_host, own_zone);
+        let live = view.members.serving(now);
+        let before = live.filter(|(host, row)| rank(host, &row.zone) > own_rank).count();
+        let share = DEPUTY_SHARE.powi(i32::try_from(before).unwrap_or(i32::MAX));
+        let rate = limit.rate.unwrap_or_default() * share;
+        match self.issuer.request(now, server, rate, *class, *patience) {
+            Issue::Decided(verdict) => self.decide(id, verdict, out),
+            Issue::Waiting(ticket) => drop(self.tickets.insert(ticket, id)),
         }
     }
 
-    /// Decides the waiting requests that are due.
-    pub fn poll(&mut self, now: Now, out: &mut Vec<(Ticket, Verdict)>) {
-        self.budgets.values_mut().for_each(|budget| budget.poll(now, out));
-        self.budgets.retain(|_, budget| {
-            budget.waiting() > 0 || now.saturating_sub(budget.used_at) < IDLE_TTL
-        });
-    }
-
-    /// Returns when [`Issuer::poll`] has something to decide.
-    pub fn next_due(&self, now: Now) -> Option<Now> {
-        self.budgets.values().filter_map(|budget| budget.next_due(now)).min()
+    fn deny(&mut self, id: PermitId, out: &mut Vec<PermitAction>) {
+        self.decide(id, Verdict { granted: false, next: NO_ISSUER_DELAY }, out);
     }
 
-    /// Returns the number of requests that wait for permits of a server.
-    pub fn waiting(&self, server: &str) -> usize {
-        self.budgets.get(server).map_or(0, Budget::waiting)
+    fn decide(&mut self, id: PermitId, verdict: Verdict, out: &mut Vec<PermitAction>) {
+        self.pending.remove(&id);
+        out.push(PermitAction::Decided { id, verdict });
     }
-}
 
-/// A daemon that issues permits.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct IssuerHost {
-    /// Name of its host.
-    pub host: HostId,
-    /// Address for messages of other daemons.
-    pub peers: String,
-}
-
-/// Chooses the daemon that issues the permits of a server.
-///
-/// All daemons rank the live ones alike: those in the server's region first, as a cut between the
-/// regions then separates the daemons that cannot reach the server anyway.
-#[derive(Debug, Default)]
-pub struct IssuerChoice {
-    failed_at: FxHashMap<HostId, Now>,
-}
-
-impl IssuerChoice {
-    /// Returns the daemon to ask for permits of a server at `location`; `None` if none is live.
-    pub fn issuer(
+    /// Returns the live daemon that ranks first for a server, without those that failed to reply.
+    pub fn choose_issuer(
         &self,
         now: Now,
-        members: &Members,
-        location: &Location,
+        view: PermitView<'_>,
         server: &str,
     ) -> Option<IssuerHost> {
-        let key = fingerprint(&[server.as_bytes()]);
         let has_failed = |host: &HostId| {
             let failed_at = self.failed_at.get(host);
             failed_at.is_some_and(|at| now.saturating_sub(*at) < FAILED_ISSUER_COOLDOWN)
         };
-        let live = members.serving(now).filter(|(host, _)| !has_failed(host));
-        let (host, row) = live.max_by_key(|(host, row)| {
-            let in_region = location.distance(&row.zone) <= 1;
-            (in_region, rendezvous_rank(key, host))
-        })?;
-        Some(IssuerHost { host: host.clone(), peers: row.peers.clone() })
+        first_issuer(now, view, server, |host| !has_failed(host))
     }
+}
 
-    /// Records that a daemon did not reply.
-    pub fn on_failure(&mut self, now: Now, host: &HostId) {
-        self.failed_at
-            .retain(|_, failed_at| now.saturating_sub(*failed_at) < FAILED_ISSUER_COOLDOWN);
-        self.failed_at.insert(host.clone(), now);
+/// Returns the live daemon that ranks first for a server among those for which `accept` is true.
+fn first_issuer(
+    now: Now,
+    view: PermitView<'_>,
+    server: &str,
+    accept: impl Fn(&HostId) -> bool,
+) -> Option<IssuerHost> {
+    let live = view.members.serving(now).filter(|(host, _)| accept(host));
+    let (host, row) = live.max_by_key(|(host, row)| issuer_rank(view, server, host, &row.zone))?;
+    Some(IssuerHost { host: host.clone(), peers: row.peers.clone() })
+}
+
+/// Returns the rank of a daemon as issuer of a server; the highest is the first.
+fn issuer_rank(view: PermitView<'_>, server: &str, host: &str, zone: &str) -> (bool, u64) {
+    let in_region = view.location.is_some_and(|server| server.distance(zone) <= 1);
+    (in_region, rendezvous_rank(fingerprint(&[server.as_bytes()]), host))
+}
+
+impl Pending {
+    fn message(&self, now: Now, clock: StoreClock) -> PermitRequest {
+        PermitRequest {
+            limit: self.limit.notice(now, clock, &self.server),
+            source: self.class.source,
+            priority: self.class.priority,
+            patience_ms: u32::try_from(self.patience.as_millis()).unwrap_or(u32::MAX),
+            relayed: self.origin != Origin::Own,
+        }
     }
 }
--- a/crates/core/src/rate_limit.rs
+++ b/crates/core/src/rate_limit.rs
@@ -1,10 +1,10 @@
 //! Request rates that backend servers accept from all daemons together, as far as this daemon knows
 //! them: from the servers' responses, and from the other daemons.
 
-use buckthornfall_proto::ids::ServerId;
+use buckthornfall_proto::{ids::ServerId, messages::LimitNotice};
 use rustc_hash::FxHashMap;
 
-use crate::Now;
+use crate::{store::StoreClock, Now};
 
 /// Request rate that a response of a server states.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -25,8 +25,36 @@
     pub rate: Option<f64>,
     /// Start time of the server process, in Unix milliseconds.
     pub started_ms: u64,
-    /// Time of the latest response that confirmed this.
+    /// When the latest request was sent whose response stated this. Responses may overtake each
+    /// other, so this orders the statements.
     pub stated_at: Now,
+    /// When that response arrived; not before `stated_at`.
+    pub received_at: Now,
+}
+
+impl Limit {
+    /// Creates the message that tells another daemon of the limit. It states times by the clock of the
+    /// store, as the receiver may handle it late.
+    pub fn notice(&self, now: Now, clock: StoreClock, server: &str) -> LimitNotice {
+        LimitNotice {
+            server: server.to_owned(),
+            limited: self.rate.is_some(),
+            rate: self.rate.unwrap_or_default(),
+            started_ms: self.started_ms,
+            at_ms: clock.to_clock_ms(now, self.stated_at),
+        }
+    }
+
+    /// Decodes the message of another daemon; `None` if its rate is not valid.
+    pub fn from_notice(now: Now, clock: StoreClock, notice: &LimitNotice) -> Option<Limit> {
+        let is_valid = notice.rate.is_finite() && notice.rate >= 0.0;
+        is_valid.then(|| Limit {
+            rate: notice.limited.then_some(notice.rate),
+            started_ms: notice.started_ms,
+            stated_at: clock.to_local(now, notice.at_ms).min(now),
+            received_at: now,
+        })
+    }
 }
 
 /// Change of what is known of a server's limit.
@@ -61,25 +89,24 @@
         if known.is_some_and(|known| known.started_ms > started_ms) {
             return None;
         }
+        let rate = match stated {
+            StatedRate::PerSecond(rate) => Some(rate),
+            StatedRate::Unlimited => None,
+            StatedRate::Unreadable => return Some(LimitChange::Unreadable),
+        };
         let same_process = known.filter(|known| known.started_ms == started_ms);
         let known_rate = same_process.and_then(|known| known.rate);
-        match stated {
-            StatedRate::PerSecond(rate) => {
-                let limit = Limit { rate: Some(rate), started_ms, stated_at: now };
-                self.limits.insert(server.to_owned(), limit);
-                (known_rate != Some(rate)).then_some(LimitChange::Stated(rate))
-            }
-            StatedRate::Unlimited => {
-                // A response to an earlier request may be older than the statement.
-                if same_process.is_some_and(|known| sent_at < known.stated_at) {
-                    return None;
-                }
-                let was_limited = known?.rate.is_some();
-                let limit = Limit { rate: None, started_ms, stated_at: now };
-                self.limits.insert(server.to_owned(), limit);
-                was_limited.then_some(LimitChange::Withdrawn)
-            }
-            StatedRate::Unreadable => Some(LimitChange::Unreadable),
+        // Of two statements whose order is unknown, the lower one counts.
+        let rises = rate.unwrap_or(f64::INFINITY) > known_rate.unwrap_or(f64::INFINITY);
+        let may_be_older = same_process.is_some_and(|known| sent_at < known.received_at);
+        if (rises && may_be_older) || (rate.is_none() && known.is_none()) {
+            return None;
+        }
+        let limit = Limit { rate, started_ms, stated_at: sent_at, received_at: now };
+        self.limits.insert(server.to_owned(), limit);
+        match rate {
+            Some(rate) => (known_rate != Some(rate)).then_some(LimitChange::Stated(rate)),
+            None => known.and_then(|known| known.rate).map(|_| LimitChange::Withdrawn),
         }
     }
 
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -160,6 +160,12 @@
         readings.map(|reading| reading.extrapolate(now)).max().unwrap_or_default()
     }
 
+    /// Converts a past local time to the store's clock, in milliseconds.
+    pub fn to_clock_ms(&self, now: Now, at: Now) -> u64 {
+        let age_ms = u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
+        self.now_ms(now).saturating_sub(age_ms)
+    }
+
     /// Converts a reading of the store's clock to local time.
     pub fn to_local(&self, now: Now, clock_ms: u64) -> Now {
         let current_ms = self.now_ms(now);
--- a/crates/core/tests/support/gossip.rs
+++ b/crates/core/tests/support/gossip.rs
@@ -229,7 +229,8 @@
             PeerMessage::StoreCall(_)
             | PeerMessage::StoreReply(_)
             | PeerMessage::PermitRequest(_)
-            | PeerMessage::PermitReply(_) => {
+            | PeerMessage::PermitReply(_)
+            | PeerMessage::LimitNotice(_) => {
                 panic!("only hosted daemons relay store calls and issue permits")
             }
         }
--- a/crates/daemon/src/actors/control.rs
+++ b/crates/daemon/src/actors/control.rs
@@ -299,7 +299,8 @@
                     PeerMessage::StoreCall(_)
                     | PeerMessage::StoreReply(_)
                     | PeerMessage::PermitRequest(_)
-                    | PeerMessage::PermitReply(_),
+                    | PeerMessage::PermitReply(_)
+                    | PeerMessage::LimitNotice(_),
                 ..
             } => {}
             PeerEvent::Answer { .. } => {}
--- a/crates/daemon/src/hosted/peers.rs
+++ b/crates/daemon/src/hosted/peers.rs
@@ -20,6 +20,9 @@
             PeerMessage::PermitRequest(req) => {
                 Some(PeerMessage::PermitReply(permits::handle(&self.0, req).await))
             }
+            PeerMessage::LimitNotice(notice) => {
+                permits::handle_notice(&self.0, &notice).map(PeerMessage::LimitNotice)
+            }
             _ => None,
         }
     }
--- a/crates/daemon/src/hosted/permits.rs
+++ b/crates/daemon/src/hosted/permits.rs
@@ -7,13 +7,18 @@
 
 use buckthornfall_core::{
     backends::Backend,
-    permits::{Issue, Issuer, IssuerChoice, IssuerHost, PermitClass, Ticket, Verdict},
+    permits::{
+        IssuerHost, Origin, PermitAction, PermitClass, PermitDemand, PermitId, PermitView, Permits,
+        Verdict,
+    },
     rate_limit::{Limit, LimitChange, StatedRate},
     store::{RowKey, StoreTx, TxEnd},
     Now,
 };
 use buckthornfall_platform::limits;
-use buckthornfall_proto::messages::{LimitRow, PeerMessage, PermitReply, PermitRequest};
+use buckthornfall_proto::messages::{
+    LimitNotice, LimitRow, PeerMessage, PermitReply, PermitRequest,
+};
 use bytes::Bytes;
 use http::{Request, Response};
 use log::{info, warn};
@@ -34,10 +39,6 @@
 
 /// Time allowed for the round trip to the issuer, on top of the patience of the request.
 const EXCHANGE_MARGIN: Duration = Duration::from_millis(250);
-/// Maximum number of issuers asked for one permit.
-const MAX_ISSUERS: usize = 2;
-/// Delay of a denied request if no issuer is known or replies.
-const NO_ISSUER_DELAY: Duration = Duration::from_millis(500);
 /// Minimum interval between two writes of the same limit row, as a server may state another limit in
 /// each response.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
@@ -72,11 +73,10 @@
 #[derive(Default)]
 pub struct ServerClient {
     pool: Pool,
-    issuer: RefCell<Issuer>,
-    choice: RefCell<IssuerChoice>,
-    /// Requests of any daemon that wait for a permit of this one.
-    waiting: RefCell<FxHashMap<Ticket, oneshot::Sender<Verdict>>>,
-    /// Notified when a request starts to wait.
+    permits: RefCell<Permits>,
+    /// Requests for permits that are not decided yet.
+    waiting: RefCell<FxHashMap<PermitId, oneshot::Sender<Verdict>>>,
+    /// Notified when a request may have started to wait.
     waits: Notify,
     /// Connections to the issuers of other daemons.
     peers: Connections,
@@ -123,7 +123,7 @@
 
 /// Requests a permit to send the request `id` to a server. Waits for at most about `patience`.
 pub async fn acquire(
-    node: &Node,
+    node: &Rc<Node>,
     server: &Backend,
     id: &str,
     class: PermitClass,
@@ -136,7 +136,9 @@
         let verdict = if known_wait > patience {
             Verdict { granted: false, next: known_wait }
         } else {
-            ask(node, server, limit, class, patience).await
+            let server = server.id.as_str();
+            let demand = PermitDemand { server, limit, class, patience, origin: Origin::Own };
+            decide(node, demand).await
         };
         let now = clock::now();
         let waited = now.saturating_sub(started);
@@ -154,147 +156,167 @@
     Ok(Permit { server: server.clone(), sent_at: clock::now() })
 }
 
-/// Asks the issuers of a server in order until one replies.
-async fn ask(
-    node: &Node,
-    server: &Backend,
-    limit: Limit,
-    class: PermitClass,
-    patience: Duration,
-) -> Verdict {
-    for _ in 0..MAX_ISSUERS {
-        let Some(issuer) = choose_issuer(node, server) else { break };
-        if issuer.host == node.settings().host {
-            return issue(node, &server.id, limit, class, patience).await;
-        }
-        let req = permit_request(&server.id, limit, class, patience, false);
-        if let Some(verdict) = ask_issuer(node, &issuer, req).await {
-            return verdict;
-        }
-    }
-    Verdict { granted: false, next: NO_ISSUER_DELAY }
+/// Decides a request for a permit, here or by another daemon.
+async fn decide(node: &Rc<Node>, demand: PermitDemand<'_>) -> Verdict {
+    let mut out = Vec::new();
+    let id = with_view(node, demand.server, |permits, view| {
+        permits.request(clock::now(), view, demand, &mut out)
+    });
+    let (tx, rx) = oneshot::channel();
+    node.servers.waiting.borrow_mut().insert(id, tx);
+    let guard = DemandGuard { servers: &node.servers, id };
+    perform(node, demand.server, out);
+    node.servers.waits.notify_one();
+    let verdict = rx.await;
+    drop(guard);
+    verdict.unwrap_or(Verdict { granted: false, next: Duration::ZERO })
 }
 
-fn choose_issuer(node: &Node, server: &Backend) -> Option<IssuerHost> {
-    let location = node.settings().location_of(&server.zone);
+/// Runs `f` with the permits and with what this daemon knows of the others.
+fn with_view<R>(node: &Node, server: &str, f: impl FnOnce(&mut Permits, PermitView<'_>) -> R) -> R {
+    let settings = node.settings();
+    let zone = node.backends.borrow().get(server).map(|entry| entry.zone.clone());
+    let location = zone.map(|zone| settings.location_of(&zone));
     let members = node.members.borrow();
-    let choice = node.servers.choice.borrow();
-    choice.issuer(clock::now(), &members, &location, &server.id)
+    let view = PermitView {
+        own_host: &settings.host,
+        members: &members,
+        location: location.as_ref(),
+        clock: node.store.clock(),
+    };
+    f(&mut node.servers.permits.borrow_mut(), view)
 }
 
-/// Asks an issuer on another host; `None` if it does not reply.
-async fn ask_issuer(node: &Node, issuer: &IssuerHost, req: PermitRequest) -> Option<Verdict> {
-    let wait = Duration::from_millis(u64::from(req.patience_ms)) + EXCHANGE_MARGIN;
-    let server = req.server.clone();
-    let message = PeerMessage::PermitRequest(req);
-    let end = timeout(wait, node.servers.peers.exchange(&issuer.peers, &message)).await;
-    let error = match end {
-        Ok(Ok(PeerMessage::PermitReply(reply))) => {
-            let next = Duration::from_millis(u64::from(reply.next_ms));
-            return Some(Verdict { granted: reply.granted, next });
+fn perform(node: &Rc<Node>, server: &str, actions: Vec<PermitAction>) {
+    for action in actions {
+        match action {
+            PermitAction::Decided { id, verdict } => {
+                if let Some(tx) = node.servers.waiting.borrow_mut().remove(&id) {
+                    // The receiver is gone if the request was cancelled at this moment.
+                    let _ = tx.send(verdict);
+                }
+            }
+            PermitAction::Ask { id, issuer, req } => {
+                let (node, server) = (Rc::clone(node), server.to_owned());
+                tokio::task::spawn_local(async move {
+                    let verdict = ask(&node, &issuer, req).await;
+                    let mut out = Vec::new();
+                    with_view(&node, &server, |permits, view| {
+                        permits.on_reply(clock::now(), view, id, verdict, &mut out);
+                    });
+                    perform(&node, &server, out);
+                    node.servers.waits.notify_one();
+                });
+            }
         }
-        Ok(Ok(_)) => "unexpected reply".to_owned(),
+    }
+}
+
+/// Asks the issuer on another host; `None` if it does not reply.
+async fn ask(node: &Node, issuer: &IssuerHost, req: PermitRequest) -> Option<Verdict> {
+    let wait = Duration::from_millis(u64::from(req.patience_ms)) + EXCHANGE_MARGIN;
+    let server = req.limit.server.clone();
+    match exchange(node, issuer, &PeerMessage::PermitRequest(req), wait).await {
+        Ok(PeerMessage::PermitReply(reply)) => return Some(Verdict::from_reply(&reply)),
+        Ok(_) => warn!(server, issuer = issuer.host.as_str(); "permit_reply_unexpected"),
+        Err(error) => info!(server, issuer = issuer.host.as_str(), error; "permit_issuer_failed"),
+    }
+    None
+}
+
+/// Sends a message to an issuer and returns its reply.
+async fn exchange(
+    node: &Node,
+    issuer: &IssuerHost,
+    message: &PeerMessage,
+    wait: Duration,
+) -> Result<PeerMessage, String> {
+    let peers = &node.servers.peers;
+    let error = match timeout(wait, peers.exchange(&issuer.peers, message)).await {
+        Ok(Ok(reply)) => return Ok(reply),
         Ok(Err(e)) => e.to_string(),
         Err(_) => "no reply in time".to_owned(),
     };
-    node.servers.peers.forget(&issuer.peers).await;
-    node.servers.choice.borrow_mut().on_failure(clock::now(), &issuer.host);
-    info!(server, issuer = issuer.host.as_str(), error; "permit_issuer_failed");
-    None
+    peers.forget(&issuer.peers).await;
+    Err(error)
 }
 
-fn permit_request(
-    server: &str,
-    limit: Limit,
-    class: PermitClass,
-    patience: Duration,
-    relayed: bool,
-) -> PermitRequest {
-    PermitRequest {
-        server: server.to_owned(),
-        rate: limit.rate.unwrap_or_default(),
-        started_ms: limit.started_ms,
-        age_ms: millis(clock::now().saturating_sub(limit.stated_at)),
-        source: class.source,
-        priority: class.priority,
-        patience_ms: u32::try_from(patience.as_millis()).unwrap_or(u32::MAX),
-        relayed,
+/// Tells the issuer of a server what this daemon knows of its limit, and adopts what that one knows.
+async fn notify_issuer(node: &Node, server: &str) {
+    let issuer =
+        with_view(node, server, |permits, view| permits.choose_issuer(clock::now(), view, server));
+    let known = node.backends.borrow().rate_limits.get(server).copied();
+    let (Some(issuer), Some(limit)) = (issuer, known) else { return };
+    if issuer.host == node.settings().host {
+        return;
+    }
+    let notice = PeerMessage::LimitNotice(limit.notice(clock::now(), node.store.clock(), server));
+    match exchange(node, &issuer, &notice, EXCHANGE_MARGIN).await {
+        Ok(PeerMessage::LimitNotice(reply)) => learn(node, &reply),
+        Ok(_) => warn!(server, issuer = issuer.host.as_str(); "permit_reply_unexpected"),
+        Err(error) => info!(server, issuer = issuer.host.as_str(), error; "limit_notice_failed"),
     }
 }
 
-/// Handles a request of another daemon. Passes it on once if another daemon is the issuer by what
-/// this one knows, so that two daemons with different views do not both issue.
-pub async fn handle(node: &Node, mut req: PermitRequest) -> PermitReply {
-    let class = PermitClass { source: req.source, priority: req.priority };
-    let patience = Duration::from_millis(u64::from(req.patience_ms));
-    let limit = learn(node, &req);
-    let server = node.backends.borrow().get(&req.server).cloned();
-    let issuer = server.filter(|_| !req.relayed).and_then(|server| choose_issuer(node, &server));
-    let other = issuer.filter(|issuer| issuer.host != node.settings().host);
-    let verdict = match (limit, other) {
-        (None, _) => Verdict { granted: true, next: Duration::ZERO },
-        (Some(limit), None) => issue(node, &req.server, limit, class, patience).await,
-        (Some(limit), Some(other)) => {
-            req.relayed = true;
-            let server = req.server.clone();
-            match ask_issuer(node, &other, req).await {
-                Some(verdict) => verdict,
-                None => issue(node, &server, limit, class, patience).await,
-            }
-        }
+/// Handles the notice of another daemon; `None` if nothing is known of the server.
+pub fn handle_notice(node: &Node, notice: &LimitNotice) -> Option<LimitNotice> {
+    learn(node, notice);
+    let known = node.backends.borrow().rate_limits.get(&notice.server).copied();
+    known.map(|limit| limit.notice(clock::now(), node.store.clock(), &notice.server))
+}
+
+/// Handles a request of another daemon.
+pub async fn handle(node: &Rc<Node>, req: PermitRequest) -> PermitReply {
+    let server = req.limit.server.as_str();
+    learn(node, &req.limit);
+    let known = node.backends.borrow().rate_limits.get(server).copied();
+    let Some(limit) = known.filter(|limit| limit.rate.is_some()) else {
+        return Verdict { granted: true, next: Duration::ZERO }.reply();
     };
-    let next_ms = u32::try_from(verdict.next.as_millis()).unwrap_or(u32::MAX);
-    PermitReply { granted: verdict.granted, next_ms }
+    let demand = PermitDemand {
+        server,
+        limit,
+        class: PermitClass { source: req.source, priority: req.priority },
+        patience: Duration::from_millis(u64::from(req.patience_ms)),
+        origin: Origin::Peer { relayed: req.relayed },
+    };
+    decide(node, demand).await.reply()
 }
 
-/// Adopts the sender's limit if it is newer, and returns the limit in force; `None` if the server is
-/// not limited any more.
-fn learn(node: &Node, req: &PermitRequest) -> Option<Limit> {
-    let stated_at = clock::now().saturating_sub(Duration::from_millis(req.age_ms));
-    let is_valid = req.rate.is_finite() && req.rate >= 0.0;
-    let stated = Limit { rate: Some(req.rate), started_ms: req.started_ms, stated_at };
-    let mut backends = node.backends.borrow_mut();
-    if is_valid && backends.rate_limits.learn(&req.server, stated) {
-        info!(server = req.server.as_str(), rate = req.rate, started_ms = req.started_ms, age_ms = req.age_ms; "server_limit_learned");
+/// Adopts the limit that another daemon knows, if it is newer.
+fn learn(node: &Node, notice: &LimitNotice) {
+    let server = notice.server.as_str();
+    let Some(limit) = Limit::from_notice(clock::now(), node.store.clock(), notice) else {
+        warn!(server, rate = notice.rate; "server_limit_unreadable");
+        return;
+    };
+    adopt(node, server, limit);
+}
+
+/// Adopts a limit if it is newer than what is known.
+fn adopt(node: &Node, server: &str, limit: Limit) {
+    if node.backends.borrow_mut().rate_limits.learn(server, limit) {
+        let age_ms = millis(clock::now().saturating_sub(limit.stated_at));
+        info!(server, rate:? = limit.rate, started_ms = limit.started_ms, age_ms; "server_limit_learned");
+        record_limit(server, limit.rate);
     }
-    backends.rate_limits.get(&req.server).copied().filter(|limit| limit.rate.is_some())
 }
 
-/// Issues a permit of this daemon, now or once it is due.
-async fn issue(
-    node: &Node,
-    server: &str,
-    limit: Limit,
-    class: PermitClass,
-    patience: Duration,
-) -> Verdict {
-    let servers = &node.servers;
-    let rate = limit.rate.unwrap_or_default();
-    let issue = servers.issuer.borrow_mut().request(clock::now(), server, rate, class, patience);
-    let ticket = match issue {
-        Issue::Decided(verdict) => return verdict,
-        Issue::Waiting(ticket) => ticket,
-    };
-    let (tx, rx) = oneshot::channel();
-    servers.waiting.borrow_mut().insert(ticket, tx);
-    servers.waits.notify_one();
-    let guard = WaitGuard { servers, server, ticket };
-    let verdict = rx.await;
-    drop(guard);
-    verdict.unwrap_or(Verdict { granted: false, next: NO_ISSUER_DELAY })
+fn record_limit(server: &str, rate: Option<f64>) {
+    metrics::gauge!("server_limit", "server" => server.to_owned())
+        .set(rate.unwrap_or(f64::INFINITY));
 }
 
-/// Withdraws a waiting request when dropped, for example because its sender has left.
-struct WaitGuard<'a> {
+/// Withdraws a request for a permit when dropped, for example because its sender has left.
+struct DemandGuard<'a> {
     servers: &'a ServerClient,
-    server: &'a str,
-    ticket: Ticket,
+    id: PermitId,
 }
 
-impl Drop for WaitGuard<'_> {
+impl Drop for DemandGuard<'_> {
     fn drop(&mut self) {
-        if self.servers.waiting.borrow_mut().remove(&self.ticket).is_some() {
-            self.servers.issuer.borrow_mut().cancel(self.server, self.ticket);
+        if self.servers.waiting.borrow_mut().remove(&self.id).is_some() {
+            self.servers.permits.borrow_mut().cancel(self.id);
         }
     }
 }
@@ -303,16 +325,10 @@
 pub async fn run(node: Rc<Node>) {
     let servers = &node.servers;
     loop {
-        let now = clock::now();
         let mut out = Vec::new();
-        servers.issuer.borrow_mut().poll(now, &mut out);
-        for (ticket, verdict) in out {
-            if let Some(tx) = servers.waiting.borrow_mut().remove(&ticket) {
-                // The receiver is gone if the request was cancelled at this moment.
-                let _ = tx.send(verdict);
-            }
-        }
-        let next_due = servers.issuer.borrow().next_due(clock::now());
+        servers.permits.borrow_mut().poll(clock::now(), &mut out);
+        perform(&node, "", out);
+        let next_due = servers.permits.borrow().next_due(clock::now());
         match next_due {
             Some(due) => tokio::select! {
                 () = sleep(due.saturating_sub(clock::now())) => {}
@@ -345,15 +361,15 @@
         Some(LimitChange::Stated(rate)) => info!(server, started_ms, rate; "server_limit"),
         Some(LimitChange::Withdrawn) => info!(server, started_ms; "server_limit_withdrawn"),
     }
-    let rate = if let StatedRate::PerSecond(rate) = stated { rate } else { f64::INFINITY };
-    metrics::gauge!("server_limit", "server" => server.to_owned()).set(rate);
+    record_limit(server, if let StatedRate::PerSecond(rate) = stated { Some(rate) } else { None });
     if node.servers.sharing.borrow_mut().insert(server.to_owned()) {
         let (node, server) = (Rc::clone(node), server.to_owned());
         tokio::task::spawn_local(async move { share(&node, &server).await });
     }
 }
 
-/// Writes the limit row of a server until it holds what this daemon knows.
+/// Shares what this daemon knows of a server's limit: writes its row until the store has it, and
+/// tells the issuer, which learns of it also while the store is away.
 async fn share(node: &Node, server: &str) {
     let key = RowKey::new(rows::FLEET, "", &format!("{}{server}", rows::LIMIT_PREFIX));
     let known = || node.backends.borrow().rate_limits.get(server).copied();
@@ -361,10 +377,10 @@
         let row = LimitRow {
             rate: limit.rate,
             started_ms: limit.started_ms,
-            at_ms: node.store.to_clock_ms(limit.stated_at),
+            at_ms: node.store.clock().to_clock_ms(clock::now(), limit.stated_at),
         };
         let tx = StoreTx::put(vec![(key.clone(), rows::encode(&row))]);
-        let end = node.store.transact(&tx).await;
+        let (end, ()) = tokio::join!(node.store.transact(&tx), notify_issuer(node, server));
         info!(server, rate:? = limit.rate, outcome:? = end; "server_limit_shared");
         sleep(SHARE_INTERVAL).await;
         let is_committed = matches!(end, TxEnd::Committed(_));
@@ -383,13 +399,8 @@
         return;
     }
     let stated_at = node.store.to_local(row.at_ms).min(clock::now());
-    let limit = Limit { rate, started_ms: row.started_ms, stated_at };
-    if node.backends.borrow_mut().rate_limits.learn(server, limit) {
-        let age_ms = millis(clock::now().saturating_sub(stated_at));
-        info!(server, rate:? = rate, started_ms = row.started_ms, age_ms; "server_limit_learned");
-        metrics::gauge!("server_limit", "server" => server.to_owned())
-            .set(rate.unwrap_or(f64::INFINITY));
-    }
+    let limit = Limit { rate, started_ms: row.started_ms, stated_at, received_at: clock::now() };
+    adopt(node, server, limit);
 }
 
 fn millis(duration: Duration) -> u64 {
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -106,10 +106,9 @@
         self.clock.get().to_local(clock::now(), clock_ms)
     }
 
-    /// Converts a past local time to the store's clock, in milliseconds.
-    pub fn to_clock_ms(&self, at: Now) -> u64 {
-        let age = clock::now().saturating_sub(at).as_millis();
-        self.clock_ms().saturating_sub(u64::try_from(age).unwrap_or(u64::MAX))
+    /// Returns the store's clock.
+    pub fn clock(&self) -> StoreClock {
+        self.clock.get()
     }
 
     fn update_clock(&self, clock_ms: u64) {
--- a/crates/daemon/src/hosted/weights.rs
+++ b/crates/daemon/src/hosted/weights.rs
@@ -261,7 +261,7 @@
 }
 
 /// Acquires the permits of a report and of the order that may follow it.
-async fn acquire_permits(node: &Node, server: &Backend) -> Result<(Permit, Permit), Denied> {
+async fn acquire_permits(node: &Rc<Node>, server: &Backend) -> Result<(Permit, Permit), Denied> {
     let acquire = || permits::acquire(node, server, "", PermitClass::CONTROL, PERMIT_PATIENCE);
     Ok((acquire().await?, acquire().await?))
 }
