cli: report capacity; explain and incident tell of request limits

explain shows the permits of a request and the limits that its servers stated meanwhile; incident lists denied permits; report capacity adds up, for each service, what its limited servers still take. A limit learned from another daemon is logged under the same event as one stated in a response, with its age.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -189,11 +189,21 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Also write the report as a JSON document"),
         );
+    let capacity = Command::new("capacity")
+        .about("Show what the servers of each service still take, from the logs of all daemons")
+        .long_about(
+            "Show what the servers of each service still take, from the logs of all daemons.\n\n\
+             Servers in need state a request limit, which holds for all daemons together. For each \
+             service the report shows its servers, the sum of their limits, and how many requests \
+             the limits admitted and denied in the last ten seconds of the logs.",
+        )
+        .arg(logs_arg());
     Command::new("report")
         .about("Reports for operators")
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(burn)
+        .subcommand(capacity)
 }
 
 fn logs_arg() -> Arg {
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -30,7 +30,13 @@
 ];
 /// Events of a server; included for each daemon that logged the id, if a line with the id names the
 /// server.
-const SERVER_EVENTS: [&str; 3] = ["server_entry", "server_entry_removed", "weights_ordered"];
+const SERVER_EVENTS: [&str; 5] = [
+    "server_entry",
+    "server_entry_removed",
+    "server_limit",
+    "server_limit_withdrawn",
+    "weights_ordered",
+];
 /// Time before the first line with the id from which related events are included.
 const LEAD_TIME_S: i64 = 5;
 
--- a/crates/cli/src/incident.rs
+++ b/crates/cli/src/incident.rs
@@ -26,7 +26,8 @@
 ];
 /// Events with an outcome: event, field of the outcome, values that mean success. Successful ones
 /// are left out.
-const EVENTS_WITH_OUTCOME: [(&str, &str, &[&str]); 3] = [
+const EVENTS_WITH_OUTCOME: [(&str, &str, &[&str]); 4] = [
+    ("permit", "outcome", &["granted"]),
     ("request_sent", "outcome", &["answered"]),
     ("request_answered", "status", &["200", "202"]),
     ("run_ended", "outcome", &["Complete"]),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod bench;
 mod caller;
+mod capacity;
 mod cli;
 mod demo;
 mod error;
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -1,4 +1,4 @@
-//! `report burn`: burn rates of the error budgets, summed over all daemons.
+//! `report`: burn rates of the error budgets, summed over all daemons, and the capacity report.
 
 use std::{collections::BTreeMap, path::PathBuf};
 
@@ -9,6 +9,7 @@
 
 use crate::{
     admin::{get_first, parse_reply},
+    capacity,
     error::{HttpSnafu, Result},
     export::{ExportManager, HtmlExporter, JsonExporter, TextExporter},
     options::{Format, Options},
@@ -45,9 +46,17 @@
     pub rows: Vec<BurnRow>,
 }
 
-/// Runs `report burn`: exports the report to the given files and prints it.
+/// Runs a report.
 pub fn run(options: &Options, matches: &ArgMatches) -> Result<()> {
-    let sub = matches.subcommand_matches("burn").expect("clap requires a known subcommand");
+    match matches.subcommand() {
+        Some(("burn", sub)) => burn(options, sub),
+        Some(("capacity", sub)) => capacity::run(options, sub),
+        _ => unreachable!("clap requires a known subcommand"),
+    }
+}
+
+/// Runs `report burn`: exports the report to the given files and prints it.
+fn burn(options: &Options, sub: &ArgMatches) -> Result<()> {
     let report = collect(options)?;
     let mut exports = ExportManager::default();
     if let Some(path) = sub.get_one::<PathBuf>("html") {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -117,6 +117,35 @@
     assert!(stderr(&output).contains("no line of the logs names \"r7\""));
 }
 
+/// Writes a log in which a server states a limit, admits one request and turns one away.
+fn write_limit_log(test: &str) -> String {
+    let log =
+        "time=2026-12-04T08:16:01.000Z level=info event=server_entry server=s1 service=desk draining=false\n\
+        time=2026-12-04T08:16:01.000Z level=info event=server_entry server=s2 service=desk draining=false\n\
+        time=2026-12-04T08:16:01.000Z level=info event=server_entry server=s3 service=models draining=false\n\
+        time=2026-12-04T08:16:09.000Z level=info event=server_limit server=s1 started_ms=7 rate=2.5 age_ms=3\n\
+        time=2026-12-04T08:16:09.000Z level=info event=server_limit server=s2 started_ms=7 rate=1 age_ms=3\n\
+        time=2026-12-04T08:16:09.100Z level=info event=server_limit_withdrawn server=s2 started_ms=7 age_ms=3\n\
+        time=2026-12-04T08:16:10.000Z level=info event=permit request=r1 server=s1 outcome=granted waited_ms=80 next_ms=400\n\
+        time=2026-12-04T08:16:10.000Z level=info event=permit request=r2 server=s1 outcome=denied waited_ms=0 next_ms=400\n\
+        time=2026-12-04T08:16:10.010Z level=info event=request_answered request=r2 status=503 tries=0 runs=0\n";
+    write_temporary(&format!("{test}-limit.log"), log)
+}
+
+#[test]
+fn explain_names_the_limit_that_turned_a_request_away() {
+    let output = run(&["explain", "r2", &write_limit_log("explain")]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
+}
+
+#[test]
+fn report_capacity_lists_what_limited_servers_still_take() {
+    let output = run(&["report", "capacity", &write_limit_log("capacity")]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
+}
+
 #[test]
 fn incident_lists_what_changed_and_failures_by_cause() {
     let [one, two] = write_logs("incident");
--- a/crates/daemon/src/hosted/permits.rs
+++ b/crates/daemon/src/hosted/permits.rs
@@ -11,7 +11,7 @@
         IssuerHost, Origin, PermitAction, PermitClass, PermitDemand, PermitId, PermitView, Permits,
         Verdict,
     },
-    rate_limit::{Limit, LimitChange, StatedRate},
+    rate_limit::{Limit, LimitChange},
     store::{RowKey, StoreTx, TxEnd},
     Now,
 };
@@ -296,13 +296,18 @@
 /// Adopts a limit if it is newer than what is known.
 fn adopt(node: &Node, server: &str, limit: Limit) {
     if node.backends.borrow_mut().rate_limits.learn(server, limit) {
-        let age_ms = millis(clock::now().saturating_sub(limit.stated_at));
-        info!(server, rate:? = limit.rate, started_ms = limit.started_ms, age_ms; "server_limit_learned");
-        record_limit(server, limit.rate);
+        let age = clock::now().saturating_sub(limit.stated_at);
+        record_limit(server, limit.started_ms, limit.rate, age);
     }
 }
 
-fn record_limit(server: &str, rate: Option<f64>) {
+/// Logs and exports a changed limit; `age` is the time since the server stated it.
+fn record_limit(server: &str, started_ms: u64, rate: Option<f64>, age: Duration) {
+    let age_ms = millis(age);
+    match rate {
+        Some(rate) => info!(server, started_ms, rate, age_ms; "server_limit"),
+        None => info!(server, started_ms, age_ms; "server_limit_withdrawn"),
+    }
     metrics::gauge!("server_limit", "server" => server.to_owned())
         .set(rate.unwrap_or(f64::INFINITY));
 }
@@ -352,16 +357,16 @@
     let mut backends = node.backends.borrow_mut();
     let change = backends.rate_limits.on_response(now, sent_at, server, started_ms, stated);
     drop(backends);
-    match change {
+    let rate = match change {
         None => return,
         Some(LimitChange::Unreadable) => {
             warn!(server, header = limits::stated_text(response.headers()).as_str(); "server_limit_unreadable");
             return;
         }
-        Some(LimitChange::Stated(rate)) => info!(server, started_ms, rate; "server_limit"),
-        Some(LimitChange::Withdrawn) => info!(server, started_ms; "server_limit_withdrawn"),
-    }
-    record_limit(server, if let StatedRate::PerSecond(rate) = stated { Some(rate) } else { None });
+        Some(LimitChange::Stated(rate)) => Some(rate),
+        Some(LimitChange::Withdrawn) => None,
+    };
+    record_limit(server, started_ms, rate, now.saturating_sub(sent_at));
     if node.servers.sharing.borrow_mut().insert(server.to_owned()) {
         let (node, server) = (Rc::clone(node), server.to_owned());
         tokio::task::spawn_local(async move { share(&node, &server).await });
