core: wait at least a millisecond for the next permit

The wait until a token has accumulated is rounded down to a nanosecond, so that a daemon could wake up for a permit that is not due by a fraction of it and poll again at once. Found by reading; no run shows a cost.

--- a/crates/cli/src/capacity.rs
+++ b/crates/cli/src/capacity.rs
@@ -114,7 +114,9 @@
         let still_serves = match (unlimited, limited) {
             (_, 0) => "all that its servers can run".to_owned(),
             (0, _) => format!("{limit:.1} requests/s"),
-            _ => format!("{limit:.1} requests/s and what its unlimited servers ({unlimited}) can run"),
+            _ => format!(
+                "{limit:.1} requests/s and what its unlimited servers ({unlimited}) can run"
+            ),
         };
         text.push_str(&format!(
             "{service:<24} {servers:>8} {limited:>8} {limit:>10.1} {granted_per_s:>10.1} \
--- a/crates/core/src/permits/issuer.rs
+++ b/crates/core/src/permits/issuer.rs
@@ -20,6 +20,8 @@
 const BURST_TIME: Duration = Duration::from_millis(250);
 /// Maximum number of requests that wait for permits of one server.
 const MAX_WAITING: usize = 256;
+/// Shortest time until the next poll: the wait for a permit is rounded down to a nanosecond.
+const MIN_POLL_INTERVAL: Duration = Duration::from_millis(1);
 /// Time after which a budget that is not used is forgotten.
 const IDLE_TTL: Duration = Duration::from_secs(600);
 
@@ -146,7 +148,8 @@
     fn next_due(&self, now: Now) -> Option<Now> {
         let waiting = self.queues.values().flat_map(|queue| &queue.waiting);
         let expires_at = waiting.map(|waiting| waiting.expires_at).min()?;
-        Some(expires_at.min(now + self.bucket.wait(now, 1.0)))
+        let next_permit = self.bucket.wait(now, 1.0).max(MIN_POLL_INTERVAL);
+        Some(expires_at.min(now + next_permit))
     }
 }
 
