bench: servers that state a request limit, and three ways to keep to it

The fault servers_limited states a limit for a time; the setting limits chooses who keeps to it: one issuer for all daemons (shared, as the daemons do), each daemon on its own (separate), nobody (ignored).

--- a/crates/bench/src/fleet/experiment.rs
+++ b/crates/bench/src/fleet/experiment.rs
@@ -50,11 +50,27 @@
     pub store: Store,
     /// Trainers.
     pub trainers: Vec<Trainer>,
+    /// How daemons keep to the request limits of servers.
+    #[serde(default)]
+    pub limits: LimitPolicy,
     /// Injected faults.
     #[serde(default)]
     pub faults: Vec<Fault>,
 }
 
+/// How daemons keep to the request limits of servers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LimitPolicy {
+    /// One daemon issues the permits of a server for all.
+    #[default]
+    Shared,
+    /// Each daemon keeps to the limit on its own.
+    Separate,
+    /// Daemons ignore the limits.
+    Ignored,
+}
+
 /// Settings of the model servers.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -137,12 +153,19 @@
     /// Factor on the time per event on slow servers.
     #[serde(default = "slow")]
     pub slower: f64,
+    /// Request limit of limited servers, in requests per second.
+    #[serde(default = "one")]
+    pub rate: f64,
 }
 
 fn all() -> f64 {
     1.0
 }
 
+fn one() -> f64 {
+    1.0
+}
+
 fn slow() -> f64 {
     4.0
 }
@@ -157,6 +180,8 @@
     ServersSlow,
     /// Servers fail every new request.
     ServersFail,
+    /// Servers state a request limit, which holds for all daemons together.
+    ServersLimited,
     /// Servers crash and restart with the same weights.
     ServersCrash,
     /// Daemons are killed, and restart at the end of the fault.
@@ -196,6 +221,7 @@
         for (index, fault) in self.faults.iter().enumerate() {
             check_share(&format!("faults[{index}].share"), fault.share)?;
             check_positive(&format!("faults[{index}].slower"), fault.slower)?;
+            check_positive(&format!("faults[{index}].rate"), fault.rate)?;
         }
         Ok(())
     }
--- a/crates/bench/src/fleet/servers.rs
+++ b/crates/bench/src/fleet/servers.rs
@@ -8,7 +8,7 @@
     Now,
 };
 
-use super::experiment;
+use super::{experiment, simulation::ServerLimit};
 
 /// A request running on a server.
 #[derive(Debug, Clone)]
@@ -40,6 +40,7 @@
     pub slow_fault: (Now, f64),
     pub failing_until: Now,
     pub down_until: Now,
+    pub limit: ServerLimit,
 }
 
 impl Server {
@@ -55,6 +56,7 @@
             slow_fault: (Now::ZERO, 1.0),
             failing_until: Now::ZERO,
             down_until: Now::ZERO,
+            limit: ServerLimit::default(),
         }
     }
 
--- a/crates/bench/src/fleet/simulation.rs
+++ b/crates/bench/src/fleet/simulation.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod jobs;
+mod limits;
 mod orders;
 mod trainers;
 
@@ -20,6 +21,8 @@
 };
 use rand::{rngs::SmallRng, seq::SliceRandom, SeedableRng};
 
+pub use self::limits::ServerLimit;
+
 use super::{
     controller::LeasedController, experiment::Experiment, report::SimulationResult,
     servers::Server, trainer::Trainer,
@@ -71,6 +74,7 @@
     Submit { trainer: usize, step: usize },
     NameVersion { trainer: usize },
     VersionNamed { trainer: usize, version: u64 },
+    Permits { issuer: usize },
     Fault { fault: usize },
     Restart { host: usize, incarnation: u64 },
     TakeOver { host: usize, incarnation: u64 },
@@ -108,6 +112,7 @@
     /// Host whose daemon runs the jobs of each trainer.
     owners: Vec<usize>,
     store: Store,
+    permits: limits::Permits,
     violations: Vec<String>,
     weight_loads: usize,
 }
@@ -134,6 +139,7 @@
             trainers: cfg.trainers.iter().map(Trainer::new).collect(),
             owners: (0..cfg.trainers.len()).map(|trainer| trainer % cfg.daemons).collect(),
             store: Store::default(),
+            permits: limits::Permits::default(),
             violations: Vec::new(),
             weight_loads: 0,
         };
@@ -156,6 +162,7 @@
             self.now = at;
             self.handle(event);
         }
+        self.violations.extend(self.limit_violations());
         SimulationResult::new(&self.trainers, START, self.cfg, self.weight_loads, self.violations)
     }
 
@@ -303,6 +310,7 @@
                     host.controller.weights.on_named(&model, version);
                 }
             }
+            Event::Permits { issuer } => self.poll_permits(issuer),
             Event::Fault { fault } => {
                 let fault = self.cfg.faults[fault].clone();
                 self.start_fault(&fault);
--- a/crates/bench/src/fleet/simulation/faults.rs
+++ b/crates/bench/src/fleet/simulation/faults.rs
@@ -25,6 +25,12 @@
                     self.servers[server].failing_until = until;
                 }
             }
+            FaultKind::ServersLimited => {
+                let now = self.now;
+                for server in self.choose(fault.share, self.servers.len()) {
+                    self.servers[server].limit.start(now, until, fault.rate);
+                }
+            }
             FaultKind::ServersCrash => {
                 for server in self.choose(fault.share, self.servers.len()) {
                     self.crash_server(server, until);
--- a/crates/bench/src/fleet/simulation/jobs.rs
+++ b/crates/bench/src/fleet/simulation/jobs.rs
@@ -10,8 +10,8 @@
 use rand::Rng;
 
 use super::{
-    super::servers::RunningRequest, Event, Simulation, MAX_JITTER, SAVE_INTERVAL, SERVER_LATENCY,
-    STORE_RETRY_DELAY,
+    super::servers::RunningRequest, limits::StartingRun, Event, Simulation, MAX_JITTER,
+    SAVE_INTERVAL, SERVER_LATENCY, STORE_RETRY_DELAY,
 };
 
 impl Simulation<'_> {
@@ -31,7 +31,7 @@
             JobAction::Run { run, job, sample, server, after } => {
                 let index = self.server(&server);
                 let running = self.request(&job, sample, after);
-                self.start_run(host, incarnation, run, index, running);
+                self.admit_run(StartingRun { host, incarnation, run, server: index, running });
             }
             JobAction::Cancel { run, server } => {
                 let index = self.server(&server);
@@ -79,15 +79,13 @@
         }
     }
 
-    fn start_run(
-        &mut self,
-        host: usize,
-        incarnation: u64,
-        run: u64,
-        server: usize,
-        running: RunningRequest,
-    ) {
+    pub(super) fn start_run(&mut self, starting: StartingRun) {
+        let StartingRun { host, incarnation, run, server, running } = starting;
         let (now, cfg) = (self.now, &self.cfg.servers);
+        if now >= self.servers[server].down_until {
+            self.servers[server].limit.on_arrival(now);
+            self.on_stated_rate(host, server);
+        }
         let target = &mut self.servers[server];
         let jobs = &mut self.hosts[host].jobs;
         let end = if now < target.down_until {
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Fleet simulation: errors of invalid experiments, and recovery after outages.
 
-use buckthornfall_bench::fleet::{simulate, Experiment};
+use buckthornfall_bench::fleet::{simulate, Experiment, FleetReport};
 use serde_json::{json, Value};
 
 const OUTAGE: &str = include_str!("../../../examples/fleet-outage.json");
@@ -33,6 +33,34 @@
     insta::assert_snapshot!(errors.join("\n"));
 }
 
+/// Compares how daemons keep to the limits of servers that take one request a second from all of
+/// them together.
+#[test]
+fn only_shared_permits_keep_limited_servers_within_their_limits() {
+    let mut experiment = outage();
+    // Four daemons send requests, so that each of them has only a part of the load.
+    for model in ["short-2", "short-3"] {
+        let mut trainer = experiment["trainers"][1].clone();
+        trainer["model"] = json!(model);
+        experiment["trainers"].as_array_mut().unwrap().push(trainer);
+    }
+    let limited = json!({ "kind": "servers_limited", "at_ms": 8000, "for_ms": 24000, "share": 1.0, "rate": 1.0 });
+    experiment["faults"] = json!([limited]);
+    let reports = ["shared", "separate", "ignored"].map(|policy| {
+        experiment["limits"] = json!(policy);
+        let experiment = Experiment::from_json(&experiment.to_string()).unwrap();
+        let report = simulate(&experiment, SEEDS, 2, |_| ());
+        (policy, report)
+    });
+    let row = |(policy, report): &(&str, FleetReport)| {
+        let (on_time, broken) = (report.on_time.mean, report.broken.len());
+        format!("{policy:9} {on_time:.3} on time, {broken} limits broken")
+    };
+    assert_eq!(reports[0].1.broken, Vec::<String>::new());
+    assert!(!reports[1].1.broken.is_empty() && !reports[2].1.broken.is_empty());
+    insta::assert_snapshot!(reports.iter().map(row).collect::<Vec<_>>().join("\n"));
+}
+
 #[test]
 fn results_do_not_depend_on_the_number_of_threads() {
     let experiment = Experiment::from_json(OUTAGE).unwrap();
