--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -179,8 +179,10 @@
 pub struct Permits {
     issuer: Issuer,
     pending: FxHashMap<PermitId, Pending>,
+    /// Requests that wait for a permit issued here.
     tickets: FxHashMap<Ticket, PermitId>,
     last_id: PermitId,
+    /// When each daemon last failed to reply.
     failed_at: FxHashMap<HostId, Now>,
 }
 
@@ -219,14 +221,12 @@
     ) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let asked = pending.asked.take();
-        match (verdict, asked) {
-            (Some(verdict), _) => self.decide(id, verdict, out),
-            (None, asked) => {
-                self.failed_at.retain(|_, at| now.saturating_sub(*at) < FAILED_ISSUER_COOLDOWN);
-                self.failed_at.extend(asked.map(|host| (host, now)));
-                self.proceed(now, view, id, out);
-            }
+        if let Some(verdict) = verdict {
+            return self.decide(id, verdict, out);
         }
+        self.failed_at.retain(|_, at| now.saturating_sub(*at) < FAILED_ISSUER_COOLDOWN);
+        self.failed_at.extend(asked.map(|host| (host, now)));
+        self.proceed(now, view, id, out);
     }
 
     /// Withdraws a request whose sender does not wait for it any more.
@@ -255,11 +255,6 @@
         self.issuer.next_due(now)
     }
 
-    /// Returns the number of requests that wait for permits issued here.
-    pub fn waiting(&self) -> usize {
-        self.tickets.len()
-    }
-
     /// Asks the next daemon, or issues the permit here.
     fn proceed(
         &mut self,
--- a/crates/core/src/permits/issuer.rs
+++ b/crates/core/src/permits/issuer.rs
@@ -215,9 +215,4 @@
     pub fn next_due(&self, now: Now) -> Option<Now> {
         self.budgets.values().filter_map(|budget| budget.next_due(now)).min()
     }
-
-    /// Returns the number of requests that wait for permits of a server.
-    pub fn waiting(&self, server: &str) -> usize {
-        self.budgets.get(server).map_or(0, Budget::waiting)
-    }
 }
--- a/crates/daemon/src/hosted/permits.rs
+++ b/crates/daemon/src/hosted/permits.rs
@@ -332,6 +332,7 @@
     loop {
         let mut out = Vec::new();
         servers.permits.borrow_mut().poll(clock::now(), &mut out);
+        // Polling only decides, so no server has to be located.
         perform(&node, "", out);
         let next_due = servers.permits.borrow().next_due(clock::now());
         match next_due {
