--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use buckthornfall_proto::ids::{ServerId, ServiceName, WeightVersion};
+use buckthornfall_proto::ids::{ServerId, ServiceName, SoftwareVersion, WeightVersion};
 use rustc_hash::FxHashMap;
 
 use crate::{
@@ -40,6 +40,8 @@
     pub draining: bool,
     /// Start time of the server process, in Unix milliseconds; 0 if not reported.
     pub started_ms: u64,
+    /// Software version of the server process.
+    pub software: SoftwareVersion,
     /// Models loaded by the server.
     pub models: Vec<HeldModel>,
 }
--- a/crates/core/tests/views.rs
+++ b/crates/core/tests/views.rs
@@ -25,6 +25,7 @@
         slots: 6,
         draining: false,
         started_ms,
+        software: String::new(),
         models: Vec::new(),
     }
 }
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -165,9 +165,11 @@
                 before.draining != entry.draining
                     || before.models != entry.models
                     || before.started_ms != entry.started_ms
+                    || before.software != entry.software
             });
             if changed {
-                info!(server = id.as_str(), service = entry.service.as_str(), draining = entry.draining,
+                info!(server = id.as_str(), service = entry.service.as_str(), draining = entry.draining, software = entry.software.as_str(),
+                    started_ms = entry.started_ms,
                     models:? = entry.models.iter().map(|m| (&m.name, m.version)).collect::<Vec<_>>(),
                     row_version = row.version; "server_entry");
             }
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -168,7 +168,8 @@
                 (failure.reason, next)
             }
         };
-        info!(request = id.as_str(), route = route.name.as_str(), server = server.id.as_str(), tries,
+        info!(request = id.as_str(), route = route.name.as_str(), server = server.id.as_str(), software = server.software.as_str(), tries,
+            resumes = header_text(&head.headers, &headers::RESUMES), after = header_text(&head.headers, &headers::LAST_EVENT),
             left_ms = remaining.as_millis() as u64, outcome; "request_sent");
         if let Some(response) = next {
             break response;
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -291,6 +291,7 @@
     job: String,
     sample: String,
     server: String,
+    software: String,
     after: Option<u64>,
     events: u32,
     started: Now,
@@ -305,6 +306,7 @@
             job: req.job.clone(),
             sample: req.sample.id.clone(),
             server: req.server.id.clone(),
+            software: req.server.software.clone(),
             after: req.after,
             events: 0,
             started: clock::now(),
@@ -324,7 +326,7 @@
         let since = |at: Now| at.saturating_sub(self.started).as_millis() as u64;
         let (first_ms, took_ms) = (self.first_event.map(since), since(clock::now()));
         log::info!(job = self.job.as_str(), sample = self.sample.as_str(), run = self.run,
-            server = self.server.as_str(), after:? = self.after, events = self.events,
+            server = self.server.as_str(), software = self.software.as_str(), after:? = self.after, events = self.events,
             first_ms:? = first_ms, took_ms, outcome, detail; "run_ended");
     }
 }
--- a/crates/proto/src/ids.rs
+++ b/crates/proto/src/ids.rs
@@ -4,6 +4,8 @@
 pub type HostId = String;
 /// Name of a backend server.
 pub type ServerId = String;
+/// Version of the software of a backend server; empty if the server states none.
+pub type SoftwareVersion = String;
 /// Name of a model or of a service.
 pub type ServiceName = String;
 /// Name of a trainer.
