Resume streams and samples only at the software version that began them

What callers saw: a stream taken up after it broke off was answered 200 and ran to its end, but its events were of two software versions that don't fit together. Samples were joined in the same way: resumed runs, migrations, texts restored by a new owner.

Cause: an assumption that had held (any server of a service continues any stream) was built into every choice of a server, and no place knew the version that began a stream; a daemon that had known it would have lost it at its end.

Why it works: the store holds a base version for each service, and a stream at another version is recorded before its first event is passed on. So no record means the base version, also for a daemon that has just started. The row of a service moves between four modes; what others must know of waits until all daemons have said that they saw the row, or their view has expired. What counts is the process that answers: each connection asks once for its start time.

Take-ups that no server of their version can serve are refused as not run; they wait up to a second while these are full, and new streams keep to the version with more slots. The first event is awaited before the head is passed on, so a stream that fails before it can be retried.

--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -9,6 +9,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
+    origins::VersionSlots,
     permits::PermitClass,
     rate_limit::{Limit, RateLimits},
     Now,
@@ -89,6 +90,9 @@
 /// time from all callers, whereas waiting is tolerable: a lookup may take four times its usual
 /// time.
 const CONNECT_COST: Duration = Duration::from_millis(20);
+/// Cost of a server of a software version with fewer slots, as added response time of a new stream:
+/// about the service time of a server at twice its slots.
+const RARE_SOFTWARE_COST: Duration = Duration::from_millis(100);
 /// Age at which a measured service time expires.
 const SERVICE_TIME_TTL: Duration = Duration::from_secs(6);
 /// Weight of a response in the moving average of the service time.
@@ -231,11 +235,32 @@
     pub tried: &'a [ServerId],
     /// Class in which the request competes for the permits of limited servers.
     pub class: PermitClass,
+    /// Software versions of the servers.
+    pub software: SoftwareChoice<'a>,
+}
+
+/// Software versions among which a server is selected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SoftwareChoice<'a> {
+    /// Any version.
+    Any,
+    /// One version.
+    Only(&'a str),
+    /// Any version, preferring the one with the most slots: a stream that is resumed has to go to the
+    /// servers of its own version.
+    New,
 }
 
 impl ServerQuery<'_> {
     fn matches(&self, entry: &Backend) -> bool {
-        entry.service == self.service && !entry.draining && !self.tried.contains(&entry.id)
+        let is_software_right = match self.software {
+            SoftwareChoice::Any | SoftwareChoice::New => true,
+            SoftwareChoice::Only(software) => entry.software == software,
+        };
+        entry.service == self.service
+            && is_software_right
+            && !entry.draining
+            && !self.tried.contains(&entry.id)
     }
 }
 
@@ -359,6 +384,25 @@
         })
     }
 
+    /// Returns the slots of the usable servers of a service by software version. A version whose
+    /// servers are all leaving has none.
+    pub fn slots_by_software(&self, service: &str) -> VersionSlots {
+        let mut slots = VersionSlots::new();
+        for known in self.servers.values().filter(|known| known.entry.service == service) {
+            let usable = if known.entry.draining { 0 } else { known.entry.slots };
+            *slots.entry(known.entry.software.clone()).or_default() += usable;
+        }
+        slots
+    }
+
+    /// Returns whether a server of the service that is not leaving has this software version.
+    pub fn has_software(&self, service: &str, software: &str) -> bool {
+        self.servers.values().any(|known| {
+            let entry = &known.entry;
+            entry.service == service && entry.software == software && !entry.draining
+        })
+    }
+
     /// Returns the number of this daemon's requests at a server.
     pub fn inflight(&self, id: &str) -> u32 {
         self.servers.get(id).map_or(0, |known| known.inflight)
@@ -382,6 +426,12 @@
         Some(Duration::from_secs_f64(time))
     }
 
+    /// Returns the mean service time of the servers of a service; for a model service, the time of an
+    /// event.
+    pub fn mean_event_time(&self, now: Now, service: &str) -> Duration {
+        Duration::from_secs_f64(self.mean_service_time(now, service))
+    }
+
     /// Returns the mean over the servers of a service with a known service time.
     fn mean_service_time(&self, now: Now, service: &str) -> f64 {
         let of_service = self.servers.values().filter(|known| known.entry.service == service);
@@ -411,6 +461,17 @@
                 + queued
                 + query.location.round_trip(&known.entry.zone).as_secs_f64()
         };
+        let slots = match query.software {
+            SoftwareChoice::New => self.slots_by_software(query.service),
+            SoftwareChoice::Any | SoftwareChoice::Only(_) => VersionSlots::new(),
+        };
+        let most_slots = slots.values().max().copied().unwrap_or_default();
+        let is_rare = |known: &Tracked| {
+            slots.get(&known.entry.software).is_some_and(|slots| *slots < most_slots)
+        };
+        let cost = |known: &Tracked| {
+            cost(known) + if is_rare(known) { RARE_SOFTWARE_COST.as_secs_f64() } else { 0.0 }
+        };
         let backing_off = |known: &Tracked| known.backoff_until > now;
         self.servers
             .values()
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -62,6 +62,8 @@
     consecutive_breaks: u32,
     /// Migrations to faster servers.
     moves: u32,
+    /// Since when the text waits for a server of its software version.
+    resume_due: Option<Now>,
     /// Number of events saved in the store.
     saved_events: usize,
     /// Number of the next progress row to save.
@@ -407,6 +409,7 @@
             scorer_requests: 0,
             consecutive_breaks: 0,
             moves: 0,
+            resume_due: None,
             saved_events: 0,
             next_row_number: 0,
         }
--- a/crates/core/src/job/runs.rs
+++ b/crates/core/src/job/runs.rs
@@ -4,7 +4,7 @@
 
 use buckthornfall_proto::ids::ServerId;
 
-use super::{Job, JobAction, JobId, Jobs, NamedVersion, Run, RunEnd, SampleState};
+use super::{Job, JobAction, JobId, Jobs, NamedVersion, Run, RunEnd, Sample, SampleState, Text};
 use crate::{
     backends::{Backends, Ended},
     permits::PermitClass,
@@ -24,6 +24,10 @@
 /// Penalty of a server that is likely to load weights after those that load early.
 const LATE_LOAD_PENALTY: f64 = 0.3;
 
+/// Minimum time for which a text waits for a server of its software version: above the backoff of a
+/// server that failed once.
+const MIN_RESUME_WAIT: Duration = Duration::from_millis(500);
+
 impl Jobs {
     /// Migrates runs from slow servers to faster ones with a free slot.
     pub(super) fn move_slow_runs(
@@ -70,14 +74,15 @@
                 if !due {
                     continue;
                 }
-                if !self.start_run(now, &id, index, backends, plan, out) {
+                if self.start_run(now, &id, index, backends, plan, out) == Start::Full {
                     break;
                 }
             }
         }
     }
 
-    /// Starts a run of a sample; returns false if no server has a free slot.
+    /// Starts a run of a sample. Its text goes on at a server of the software version that generated it;
+    /// if none is free for as long as generating the text again takes, the text is discarded.
     fn start_run(
         &mut self,
         now: Now,
@@ -86,15 +91,39 @@
         backends: &mut Backends,
         plan: &Plan,
         out: &mut Vec<JobAction>,
-    ) -> bool {
-        let Some(job) = self.jobs.get_mut(id) else { return false };
+    ) -> Start {
+        let Some(job) = self.jobs.get_mut(id) else { return Start::Full };
         let named = self.named_versions.get(&job.spec.model);
-        let Some(server) = choose_server(now, job, named, backends, plan) else { return false };
+        let sample = &mut job.samples[index];
+        sample.text.prepare(job.spec.min_version, job.policy.single_version);
+        let software = sample.text.software().cloned();
+        let choose =
+            |software: Option<&str>| choose_server(now, job, named, backends, plan, software);
+        let server = match software.as_deref() {
+            None => choose(None),
+            Some(software) => choose(Some(software)).or_else(|| {
+                let is_worth_waiting = job.samples[index].may_wait(now, job, backends, software);
+                choose(None).filter(|_| !is_worth_waiting)
+            }),
+        };
+        let Some(server) = server else {
+            let sample = &mut job.samples[index];
+            let waits = sample.text.software().is_some();
+            if waits {
+                sample.resume_due.get_or_insert(now);
+            }
+            return if waits { Start::Waits } else { Start::Full };
+        };
+        let Some(entry) = backends.get(&server) else { return Start::Full };
         self.next_run += 1;
         let run = self.next_run;
         let sample = &mut job.samples[index];
         sample.state = SampleState::Running(run);
-        sample.text.prepare(job.spec.min_version, job.policy.single_version);
+        sample.resume_due = None;
+        if software.is_some_and(|software| software != entry.software) {
+            sample.text = Text::default();
+        }
+        sample.text.set_software(&entry.software);
         if sample.text.is_empty() {
             sample.saved_events = 0;
             // Invalidates a save of the old text that is still in flight.
@@ -111,7 +140,30 @@
         };
         self.runs.insert(run, active_run);
         out.push(JobAction::Run { run, job: id.clone(), sample: index, server, after });
-        true
+        Start::Started
+    }
+}
+
+/// Outcome of an attempt to start a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Start {
+    /// The run has started.
+    Started,
+    /// No server of the software version of the sample's text is free; one for other samples may be.
+    Waits,
+    /// No server is free.
+    Full,
+}
+
+impl Sample {
+    /// Returns whether a server of the text's software version is listed and waiting for it is still
+    /// shorter than generating the text again.
+    fn may_wait(&self, now: Now, job: &Job, backends: &Backends, software: &str) -> bool {
+        let events = u32::try_from(self.text.events()).unwrap_or(u32::MAX);
+        let event_time = backends.mean_event_time(now, &job.policy.service);
+        let waited = self.resume_due.map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        backends.has_software(&job.policy.service, software)
+            && waited < MIN_RESUME_WAIT.max(event_time * events)
     }
 }
 
@@ -148,7 +200,9 @@
         backends: &Backends,
         plan: &Plan,
     ) -> bool {
-        let Some(other) = choose_server(now, job, named, backends, plan) else { return false };
+        let software = job.samples[self.sample].text.software().map(String::as_str);
+        let other = choose_server(now, job, named, backends, plan, software);
+        let Some(other) = other else { return false };
         // A migration costs a request, which a limited server should spend on another sample.
         if job.is_likely_loading(now, named, backends, &other) || backends.limit(&other).is_some() {
             return false;
@@ -168,14 +222,16 @@
     }
 }
 
-/// Chooses the cheapest server with a free slot and sufficiently new weights: one that the plan
-/// assigns to the model, or any other if none of those is usable.
+/// Chooses the cheapest server with a free slot and sufficiently new weights, of one software version
+/// if `software` is given: one that the plan assigns to the model, or any other if none of those is
+/// usable.
 fn choose_server(
     now: Now,
     job: &Job,
     named: Option<&NamedVersion>,
     backends: &Backends,
     plan: &Plan,
+    software: Option<&str>,
 ) -> Option<ServerId> {
     let model = &job.spec.model;
     let class = PermitClass::job(job.policy.priority);
@@ -184,6 +240,7 @@
             && backends.permit_wait(now, id, class).is_zero()
             && backends.get(id).is_some_and(|entry| {
                 entry.service == job.policy.service
+                    && software.is_none_or(|software| entry.software == software)
                     && entry.version(model).is_some_and(|v| v >= job.spec.min_version)
             })
     };
--- a/crates/core/src/job/text.rs
+++ b/crates/core/src/job/text.rs
@@ -1,6 +1,9 @@
 //! The text of a sample, assembled from its stream of events.
 
-use buckthornfall_proto::{ids::WeightVersion, messages::ProgressRow};
+use buckthornfall_proto::{
+    ids::{SoftwareVersion, WeightVersion},
+    messages::ProgressRow,
+};
 use bytes::Bytes;
 
 /// Highest id allowed for the first event of a text.
@@ -17,6 +20,8 @@
     versions: Vec<WeightVersion>,
     /// Version that generates the next event.
     current_version: Option<WeightVersion>,
+    /// Software version of the servers that generated the events.
+    software: SoftwareVersion,
     /// Whether the stream has ended and all events were received.
     pub complete: bool,
     /// Score of the sample; empty until it is scored.
@@ -44,6 +49,17 @@
         &self.versions
     }
 
+    /// Returns the software version that generated the events; `None` if there are none.
+    pub fn software(&self) -> Option<&SoftwareVersion> {
+        (!self.is_empty()).then_some(&self.software)
+    }
+
+    /// Sets the software version of the next run; an existing text must be of the same one.
+    pub fn set_software(&mut self, software: &str) {
+        debug_assert!(self.is_empty() || self.software == software);
+        software.clone_into(&mut self.software);
+    }
+
     /// Sets the version that generates the following events.
     pub fn set_version(&mut self, version: WeightVersion) {
         self.current_version = Some(version);
@@ -91,14 +107,16 @@
             first: last + 1 - count,
             events: events.iter().map(|e| String::from_utf8_lossy(e).into_owned()).collect(),
             versions: self.versions.clone(),
+            software: self.software.clone(),
         })
     }
 
     /// Appends a progress row of one owner; a row that does not follow the last one starts a new
     /// text.
     pub fn restore(&mut self, row: &ProgressRow) {
-        if self.last_id.is_none_or(|last| row.first != last + 1) {
-            *self = Text::default();
+        let is_same_software = self.software == row.software;
+        if self.last_id.is_none_or(|last| row.first != last + 1) || !is_same_software {
+            *self = Text { software: row.software.clone(), ..Text::default() };
         }
         let Ok(count) = u64::try_from(row.events.len()) else { return };
         self.events.extend(row.events.iter().map(|event| Bytes::from(event.clone())));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod members;
 pub mod membership;
 pub mod order;
+pub mod origins;
 pub mod permits;
 pub mod pick;
 pub mod progress;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -10,11 +10,11 @@
 use buckthornfall_proto::{
     digest::{fingerprint, rendezvous_rank},
     ids::HostId,
-    messages::{MemberRow, MemberState},
+    messages::{MemberRow, MemberState, SeenRow},
 };
 use rustc_hash::FxHashMap;
 
-use crate::{backends::Location, Now};
+use crate::{backends::Location, store::RowVersion, Now};
 
 /// Total rate of heartbeats of the daemons that own no jobs, which keeps their rows within 12 KB/s
 /// for each reader.
@@ -40,6 +40,8 @@
 pub struct Members {
     own_host: HostId,
     observed: FxHashMap<HostId, ObservedMember>,
+    /// How far each daemon says that it has followed the shared rows.
+    seen: FxHashMap<HostId, SeenRow>,
     last_contact: Now,
 }
 
@@ -49,7 +51,8 @@
 impl Members {
     /// Creates an empty view.
     pub fn new(own_host: HostId) -> Members {
-        Members { own_host, observed: FxHashMap::default(), last_contact: Now::ZERO }
+        let (observed, seen) = (FxHashMap::default(), FxHashMap::default());
+        Members { own_host, observed, seen, last_contact: Now::ZERO }
     }
 
     /// Returns the heartbeat interval of this daemon.
@@ -82,6 +85,23 @@
         }
     }
 
+    /// Updates how far a daemon has followed the shared rows.
+    pub fn on_seen(&mut self, host: &str, row: SeenRow) {
+        self.seen.insert(host.to_owned(), row);
+    }
+
+    /// Returns whether all daemons have applied the shared rows up to `version`, except those that have
+    /// been silent for longer than `max_silence`.
+    pub fn all_seen(&self, now: Now, version: RowVersion, max_silence: Duration) -> bool {
+        self.observed.iter().all(|(host, observed)| {
+            let has_seen = self.seen.get(host).is_some_and(|seen| {
+                seen.incarnation >= observed.row.incarnation && seen.version >= version
+            });
+            let silence = now.min(self.last_contact).saturating_sub(observed.changed_at);
+            has_seen || silence > max_silence
+        })
+    }
+
     /// Returns the row of a daemon, live or not.
     pub fn get(&self, host: &str) -> Option<&MemberRow> {
         self.observed.get(host).map(|observed| &observed.row)
--- a/crates/core/tests/views.rs
+++ b/crates/core/tests/views.rs
@@ -3,7 +3,9 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use buckthornfall_core::{
-    backends::{Backend, Backends, Ended, Location, ServerQuery, MISSING_ENTRY_GRACE},
+    backends::{
+        Backend, Backends, Ended, Location, ServerQuery, SoftwareChoice, MISSING_ENTRY_GRACE,
+    },
     desired::{Desired, InForce, Route, RouteKind, Target},
     members::Members,
     permits::PermitClass,
@@ -39,7 +41,8 @@
 fn chosen(backends: &Backends, now: Now) -> Option<String> {
     let location = location();
     let class = PermitClass::caller(0);
-    let want = ServerQuery { service: "desk", location: &location, tried: &[], class };
+    let software = SoftwareChoice::Any;
+    let want = ServerQuery { service: "desk", location: &location, tried: &[], class, software };
     backends.choose(now, want, |_| true).map(|entry| entry.id.clone())
 }
 
@@ -346,7 +349,8 @@
     }
     let location = location();
     let class = PermitClass::caller(0);
-    let want = ServerQuery { service: "desk", location: &location, tried: &[], class };
+    let software = SoftwareChoice::Any;
+    let want = ServerQuery { service: "desk", location: &location, tried: &[], class, software };
     let chosen = |connected: &str| {
         let entry = backends.choose(NOW, want, |entry| entry.id == connected);
         entry.map(|entry| entry.id.clone())
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -12,6 +12,7 @@
 mod heartbeat;
 mod http;
 mod node;
+mod origins;
 mod owners;
 mod peers;
 mod permits;
@@ -23,6 +24,7 @@
 mod server;
 mod store;
 mod stream;
+mod streams;
 mod submissions;
 mod weights;
 
@@ -147,6 +149,7 @@
     tokio::task::spawn_local(owners::watch(Rc::clone(&node)));
     tokio::task::spawn_local(cleanup::run(Rc::clone(&node)));
     tokio::task::spawn_local(permits::run(Rc::clone(&node)));
+    tokio::task::spawn_local(origins::run(Rc::clone(&node)));
     info!(host = config.host.as_str(), zone = config.zone.as_str(), front:% = config.front, store:% = config.store; "started");
     tokio::task::spawn_local(reload::watch(Rc::clone(&node), changed));
     terminate.recv().await;
--- a/crates/daemon/src/hosted/body.rs
+++ b/crates/daemon/src/hosted/body.rs
@@ -71,9 +71,23 @@
     }
 }
 
-/// Body of a server's response that is relayed to the caller.
+/// Body of an event stream whose start has been received.
+pub struct StreamStart {
+    /// What was received so far.
+    pub start: Bytes,
+    /// The rest.
+    pub body: Incoming,
+    /// Whether the framing of the response shows its end.
+    pub is_delimited: bool,
+}
+
+/// Body of a server's event stream that is relayed to the caller.
 pub struct Relay {
+    /// What was received before the relay started, until it is passed on.
+    start: Bytes,
     body: Incoming,
+    /// Whether the framing of the response shows its end.
+    is_delimited: bool,
     conn: Option<Connection>,
     node: Rc<Node>,
     server: ServerId,
@@ -113,6 +127,9 @@
     /// The server closed its connection within an event.
     #[snafu(display("the stream ends within an event"))]
     TruncatedEvent,
+    /// The connection to the server ended, and nothing else shows that the stream did.
+    #[snafu(display("the stream has no end but that of its connection"))]
+    UnconfirmedEnd,
     /// The stream did not end before the caller's deadline.
     #[snafu(display("the stream did not end before its deadline"))]
     DeadlineExceeded,
@@ -164,19 +181,25 @@
     pub fn new(
         node: &Rc<Node>,
         server: ServerId,
-        body: Incoming,
         conn: Connection,
+        response: StreamStart,
         until: Now,
     ) -> Relay {
         let deadline = Box::pin(sleep(until.saturating_sub(clock::now())));
+        let StreamStart { start, body, is_delimited } = response;
         let (node, tail) = (Rc::clone(node), Tail::default());
-        Relay { body, conn: Some(conn), node, server, deadline, tail }
+        Relay { start, body, is_delimited, conn: Some(conn), node, server, deadline, tail }
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
         if self.deadline.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Some(DeadlineExceededSnafu.fail()));
         }
+        if !self.start.is_empty() {
+            let start = std::mem::take(&mut self.start);
+            self.tail.push(&start);
+            return Poll::Ready(Some(Ok(Frame::data(start))));
+        }
         match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
@@ -185,6 +208,8 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Some(Err(e)) => Poll::Ready(Some(Err(e).context(ServerSnafu))),
+            // A server that crashes closes its connections, too.
+            None if !self.is_delimited => Poll::Ready(Some(UnconfirmedEndSnafu.fail())),
             None if self.tail.ends_event() => {
                 if let Some(conn) = self.conn.take() {
                     self.node.servers.put(conn);
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -5,17 +5,18 @@
 use buckthornfall_core::{
     readiness::Table,
     store::{FeedEnd, RowKey, RowPage, RowVersion, StoredRow},
+    Now,
 };
 use buckthornfall_platform::{deployment, servers, store as wire};
 use buckthornfall_proto::{
     ids::ServerId,
-    messages::{JobRow, LeavingRow, LimitRow, MemberRow, SuspectRow},
+    messages::{JobRow, LeavingRow, LimitRow, MemberRow, SeenRow, SuspectRow},
 };
 use log::{info, warn};
 use rustc_hash::FxHashSet;
 use tokio::time::sleep;
 
-use super::{clock, node::Node, permits, rows};
+use super::{clock, node::Node, origins, permits, rows};
 
 /// Minimum interval between two polls of one table, so that changes arrive in batches.
 pub const FEED_INTERVAL: Duration = Duration::from_millis(25);
@@ -56,11 +57,13 @@
             }
             continue;
         };
+        let sent_at = clock::now();
         match node.store.feed(table_name(table), version).await {
             FeedEnd::Changes(page) => {
                 after = Some(page.version.max(version));
                 node.members.borrow_mut().on_contact(clock::now());
                 page.rows.iter().for_each(|row| on_row(&node, table, row));
+                on_view(&node, table, sent_at);
                 sleep(feed_interval(table)).await;
             }
             FeedEnd::HistoryLost => {
@@ -73,9 +76,11 @@
 }
 
 async fn read_table(node: &Rc<Node>, table: Table) -> Option<RowVersion> {
+    let sent_at = clock::now();
     let page = node.store.rows(&RowKey::new(table_name(table), "", ""), None).await?;
     node.members.borrow_mut().on_contact(clock::now());
     page.rows.iter().for_each(|row| on_row(node, table, row));
+    on_view(node, table, sent_at);
     if table == Table::Servers {
         let listed: Vec<ServerId> = page.rows.iter().map(|row| row.key.key.clone()).collect();
         let steady = is_steady(node);
@@ -89,6 +94,12 @@
     Some(page.version)
 }
 
+fn on_view(node: &Node, table: Table, sent_at: Now) {
+    if table == Table::Fleet {
+        node.origins.borrow_mut().on_view(sent_at);
+    }
+}
+
 /// Forgets jobs whose rows were removed in the changes that the store no longer keeps.
 fn forget_removed_jobs(node: &Node, page: &RowPage) {
     let listed: FxHashSet<_> =
@@ -216,6 +227,14 @@
             node.limit_rows.borrow_mut().insert(server.to_owned(), clock::now());
             permits::on_row(node, server, &limit);
         }
+    } else if let Some(service) = key.strip_prefix(rows::SOFTWARE_PREFIX) {
+        if let Some(software) = rows::decode(row) {
+            origins::on_row(node, service, software, row.version);
+        }
+    } else if let Some(host) = key.strip_prefix(rows::SEEN_PREFIX) {
+        if let Some(seen) = rows::decode::<SeenRow>(row) {
+            origins::on_seen(node, host, seen);
+        }
     } else if key == rows::PLAN_KEY {
         if let Some(plan) = rows::decode(row) {
             let plan = buckthornfall_core::weights::Plan::from_row(plan);
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use buckthornfall_core::{
-    backends::{Backend, Ended, ServerQuery},
+    backends::{Backend, Ended, ServerQuery, SoftwareChoice},
     desired::{Route, RouteKind},
     permits::PermitClass,
     Now,
@@ -12,17 +12,17 @@
 use buckthornfall_proto::{digest::fingerprint, ids::ServerId};
 use bytes::Bytes;
 use http::{header, request, HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use log::info;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::{
-    body::{full_response, Relay, ResponseBody},
+    body::{full_response, Relay, ResponseBody, StreamStart},
     clock,
-    http::{Connection, Error},
+    http::{self as client, Connection, Error},
     node::Node,
     permits::{self, Permit},
     responses,
+    streams::{self, Choice, Scope, Start},
 };
 
 /// Timeout of connecting to a server.
@@ -38,6 +38,15 @@
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Latency objective of a route that does not set one.
 const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(200);
+/// Maximum time for which a request that resumes a stream waits while the servers of its software
+/// version are full.
+const RESUME_PATIENCE: Duration = Duration::from_secs(1);
+/// Interval between its attempts.
+const RESUME_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Priority at servers of a request that resumes a stream: ahead of those that begin one.
+const RESUME_PRIORITY: HeaderValue = HeaderValue::from_static("4");
+/// Timeout of the report that tells the start time of a server process.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time reserved for sending the response to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 
@@ -93,7 +102,11 @@
 ) -> Response<ResponseBody> {
     let id = header_text(&head.headers, &headers::ATTEMPT).to_owned();
     let deadline = request_deadline(route, &head.headers);
-    let service = route.target(fingerprint(&[id.as_bytes()])).clone();
+    let scoped = match streams::scope(node, route, head, body).await {
+        Ok(scoped) => scoped,
+        Err(reason) => return full_response(responses::not_run(reason)),
+    };
+    let (service, scope) = (scoped.service, scoped.scope);
     let class = PermitClass::caller(route.priority);
     // Servers that were tried, or whose request limit does not admit the request.
     let mut excluded: Vec<ServerId> = Vec::new();
@@ -102,6 +115,7 @@
     let mut runs = 0;
     let mut last_response = None;
     let started = clock::now();
+    let resume_until = started + RESUME_PATIENCE.min(deadline.saturating_sub(started) / 3);
     let path = head.uri.path().as_bytes();
     let request_fingerprint =
         fingerprint(&[header_text(&head.headers, &header::HOST).as_bytes(), path, body]);
@@ -119,10 +133,24 @@
         if remaining.is_zero() {
             break give_up(runs, last_response, StatusCode::GATEWAY_TIMEOUT, "out of time");
         }
-        let query =
-            ServerQuery { service: &service, location: &node.location, tried: &excluded, class };
-        let chosen = node.choose_server(query);
-        let Some(server) = chosen.filter(|_| tries < MAX_REFUSALS + runs as usize) else {
+        let choice = scope.choice(node);
+        let query = ServerQuery {
+            service: &service,
+            location: &node.location,
+            tried: &excluded,
+            class,
+            software: choice.as_ref().map_or(SoftwareChoice::Any, Choice::as_query),
+        };
+        let chosen = choice.as_ref().and_then(|_| node.choose_server(query));
+        let max_tries = MAX_REFUSALS + runs as usize;
+        let Some(server) = chosen.filter(|_| tries < max_tries) else {
+            let may_wait = scope.is_resumed() && permit_delay.is_none();
+            if may_wait && clock::now() < resume_until && !excluded.is_empty() && runs == 0 {
+                // Its servers are full; the others cannot continue the stream.
+                sleep(RESUME_RETRY_DELAY).await;
+                (excluded, tries) = (Vec::new(), 0);
+                continue;
+            }
             break match permit_delay {
                 Some(delay) if runs == 0 => full_response(responses::not_run_until(
                     "the servers are at their request limits",
@@ -143,7 +171,8 @@
         };
         tries += 1;
         let is_last = runs + 1 >= route.max_attempts;
-        let end = attempt(node, route, head, body, permit, deadline, is_last).await;
+        let req = CallerRequest { route, head, body, scope: &scope };
+        let end = attempt(node, req, permit, deadline, is_last).await;
         let (outcome, next) = match end {
             AttemptOutcome::Response(response) => {
                 node.suspects.borrow_mut().on_answer(request_fingerprint);
@@ -156,7 +185,7 @@
                 }
                 runs += 1;
                 last_response = failure.response.or(last_response);
-                let retries = route.kind == RouteKind::Idempotent && runs < route.max_attempts;
+                let retries = may_repeat(route) && runs < route.max_attempts;
                 let next = (!retries).then(|| {
                     give_up(
                         runs,
@@ -186,6 +215,16 @@
     response
 }
 
+/// Returns whether more than one server may run a request. A stream that may be resumed has passed on
+/// no event when an attempt fails.
+fn may_repeat(route: &Route) -> bool {
+    match route.kind {
+        RouteKind::Idempotent => true,
+        RouteKind::Stream => route.resumable,
+        RouteKind::Once | RouteKind::Job => false,
+    }
+}
+
 /// Returns the final response to a request for which no attempt succeeded.
 fn give_up(
     runs: u32,
@@ -222,15 +261,23 @@
     clock::now() + wait.saturating_sub(RESPONSE_MARGIN)
 }
 
+/// A caller's request and the servers that may run it.
+#[derive(Clone, Copy)]
+struct CallerRequest<'a> {
+    route: &'a Route,
+    head: &'a request::Parts,
+    body: &'a Bytes,
+    scope: &'a Scope,
+}
+
 async fn attempt(
     node: &Rc<Node>,
-    route: &Route,
-    head: &request::Parts,
-    body: &Bytes,
+    req: CallerRequest<'_>,
     permit: Permit,
     deadline: Now,
     is_last: bool,
 ) -> AttemptOutcome {
+    let route = req.route;
     let server = permit.server().clone();
     let remaining = deadline.saturating_sub(clock::now());
     let service_time =
@@ -243,18 +290,31 @@
     };
     let started = clock::now();
     let guard = AttemptGuard::new(node, &server.id, deadline);
-    let end = timeout(attempt_timeout, exchange(node, route, head, body, permit, remaining)).await;
+    let end = timeout(attempt_timeout, exchange(node, req, permit, remaining)).await;
     let now = clock::now();
     let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
     match end {
         Ok(Ok((response, conn))) => {
-            classify(node, route, guard, response, conn, head.headers.get(headers::ATTEMPT), took)
+            let id = req.head.headers.get(headers::ATTEMPT);
+            classify(node, route, guard, response, conn, id, took)
         }
-        Ok(Err(e @ Error::Connect { .. })) => {
+        Ok(Err(ExchangeError::Http(e @ Error::Connect { .. }))) => {
             guard.end(Ended::Failed);
             AttemptOutcome::NotRun(e.to_string())
         }
-        Ok(Err(e)) => {
+        Ok(Err(ExchangeError::NotSent(reason))) => {
+            guard.end(Ended::Refused);
+            AttemptOutcome::NotRun(reason)
+        }
+        Ok(Err(ExchangeError::NoEvent(reason))) => {
+            guard.end(Ended::Failed);
+            AttemptOutcome::Failed(Failure { reason, response: None, crashed: true })
+        }
+        Ok(Err(ExchangeError::NotRecorded(reason))) => {
+            guard.end(Ended::Cancelled);
+            AttemptOutcome::failed(reason)
+        }
+        Ok(Err(ExchangeError::Http(e))) => {
             if e.is_stale_connection() {
                 guard.end(Ended::Cancelled);
                 return AttemptOutcome::failed(e);
@@ -269,31 +329,86 @@
     }
 }
 
+/// Why an exchange with a server has no usable response.
+enum ExchangeError {
+    /// The connection failed.
+    Http(Error),
+    /// The request was not sent.
+    NotSent(String),
+    /// The stream ended before its first event.
+    NoEvent(String),
+    /// The stream began, but its first event must not be passed on.
+    NotRecorded(&'static str),
+}
+
+impl From<Error> for ExchangeError {
+    fn from(e: Error) -> ExchangeError {
+        ExchangeError::Http(e)
+    }
+}
+
 async fn exchange(
     node: &Rc<Node>,
-    route: &Route,
-    head: &request::Parts,
-    body: &Bytes,
+    req: CallerRequest<'_>,
     permit: Permit,
     remaining: Duration,
-) -> Result<(Response<Received>, Connection), Error> {
+) -> Result<(Response<Received>, Connection), ExchangeError> {
+    let CallerRequest { route, head, body, scope } = req;
     let (server, sent_at) = (permit.server().clone(), permit.sent_at());
-    let mut conn = node.servers.get(permit, CONNECT_TIMEOUT.min(remaining)).await?;
-    let response = conn.send(build_request(head, body, &server, remaining)).await?;
+    let connect_timeout = CONNECT_TIMEOUT.min(remaining);
+    let mut conn = match scope {
+        Scope::Any => node.servers.get(permit, connect_timeout).await?,
+        Scope::New(_) | Scope::Resumed(_) => {
+            let class = PermitClass::caller(route.priority);
+            let conn =
+                node.servers.get_verified(node, permit, class, connect_timeout, REPORT_TIMEOUT);
+            conn.await.map_err(|e| match e {
+                Error::OtherProcess { .. } => ExchangeError::NotSent(e.to_string()),
+                e => ExchangeError::Http(e),
+            })?
+        }
+    };
+    let pending = match scope {
+        Scope::New(stream) => stream
+            .prepare(node, &server.software)
+            .map_err(|reason| ExchangeError::NotSent(reason.to_owned()))?,
+        Scope::Any | Scope::Resumed(_) => None,
+    };
+    let mut message = build_request(head, body, &server, remaining);
+    if scope.is_resumed() {
+        message.headers_mut().entry(headers::PRIORITY).or_insert(RESUME_PRIORITY);
+    }
+    let response = conn.send(message).await?;
     node.on_response(&server.id, server.started_ms, sent_at, &response);
     let is_streaming = route.kind == RouteKind::Stream && response.status() == StatusCode::OK;
-    let response = if is_streaming {
-        response.map(Received::Streaming)
-    } else {
-        conn.read(response).await?.map(Received::Full)
+    if !is_streaming {
+        return Ok((conn.read(response).await?.map(Received::Full), conn));
+    }
+    let (head, mut body) = response.into_parts();
+    let is_delimited = client::is_delimited(&head.headers);
+    let start = streams::read_first_event(&mut body).await.map_err(ExchangeError::NoEvent)?;
+    let start = match start {
+        Start::Event(start) => start,
+        // Nothing follows the last event of a resumed stream that had ended.
+        Start::Ended(start) if start.is_empty() && is_delimited => start,
+        Start::Ended(_) => {
+            return Err(ExchangeError::NoEvent(
+                "the stream ends before its first event".to_owned(),
+            ));
+        }
     };
-    Ok((response, conn))
+    if let Scope::New(stream) = scope {
+        let confirmed = stream.confirm(node, &server, pending).await;
+        confirmed.map_err(ExchangeError::NotRecorded)?;
+    }
+    let stream = StreamStart { start, body, is_delimited };
+    Ok((Response::from_parts(head, Received::Streaming(stream)), conn))
 }
 
 /// Body of a server's response: read in full, or still being received.
 enum Received {
     Full(Bytes),
-    Streaming(Incoming),
+    Streaming(StreamStart),
 }
 
 fn build_request(
@@ -358,7 +473,7 @@
             guard.end(if is_faulty { Ended::Erred } else { Ended::Answered(took) });
             ResponseBody::full(body)
         }
-        Received::Streaming(body) => ResponseBody::relay(guard.relay(body, conn)),
+        Received::Streaming(stream) => ResponseBody::relay(guard.relay(stream, conn)),
     };
     let response = Response::from_parts(head, body);
     if failed && route.kind == RouteKind::Idempotent {
@@ -392,9 +507,9 @@
         }
     }
 
-    fn relay(mut self, body: Incoming, conn: Connection) -> Relay {
+    fn relay(mut self, stream: StreamStart, conn: Connection) -> Relay {
         let server = self.server.take().unwrap_or_default();
-        Relay::new(&self.node, server, body, conn, self.deadline)
+        Relay::new(&self.node, server, conn, stream, self.deadline)
     }
 }
 
--- a/crates/daemon/src/hosted/heartbeat.rs
+++ b/crates/daemon/src/hosted/heartbeat.rs
@@ -60,6 +60,10 @@
             };
             let tx = StoreTx::put(vec![(key.clone(), rows::encode(&row))]);
             let end = node.store.transact(&tx).await;
+            if matches!(end, TxEnd::Committed(_)) {
+                node.incarnation.set(incarnation);
+                node.origins.borrow_mut().on_heartbeat(last_write);
+            }
             write_time = clock::now().saturating_sub(last_write);
             // A refused write returns faster than a committed one, so it is not counted.
             if matches!(end, TxEnd::Committed(_)) {
--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -8,7 +8,7 @@
 
 use buckthornfall_platform::headers;
 use bytes::Bytes;
-use http::{header, HeaderValue, Request, Response};
+use http::{header, HeaderMap, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -22,6 +22,7 @@
 
 /// Why a request has no response.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
 pub enum Error {
     /// The connection failed; nothing was sent.
     #[snafu(display("cannot connect to {addr}: {reason}"))]
@@ -55,6 +56,12 @@
         /// Address of the peer.
         addr: SocketAddr,
     },
+    /// The process at the other end is not the one that the server's entry describes.
+    #[snafu(display("the process at {addr} is not the one that the server's entry describes"))]
+    OtherProcess {
+        /// Address of the server.
+        addr: SocketAddr,
+    },
     /// No complete response was received within the timeout.
     #[snafu(display("no answer from {addr} within {timeout:?}"))]
     TimedOut {
@@ -98,6 +105,9 @@
     /// Number of requests sent on the connection.
     requests_sent: u32,
     idle_timeout: Duration,
+    /// Start time of the process at the other end, in Unix milliseconds, if it was asked; `None` within
+    /// if it does not report one.
+    peer_start: Option<Option<u64>>,
 }
 
 impl Drop for Connection {
@@ -121,7 +131,24 @@
         let (tx, conn) = connected.map_err(|reason| Error::Connect { addr, reason })?;
         // Errors of the connection are reported by the requests sent on it.
         let task = task::spawn_local(async move { drop(conn.await) }).abort_handle();
-        Ok(Connection { addr, tx, task, requests_sent: 0, idle_timeout: DEFAULT_IDLE_TIMEOUT })
+        Ok(Connection {
+            addr,
+            tx,
+            task,
+            requests_sent: 0,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            peer_start: None,
+        })
+    }
+
+    /// Returns the start time of the process at the other end, as set by `set_peer_start`.
+    pub fn peer_start(&self) -> Option<Option<u64>> {
+        self.peer_start
+    }
+
+    /// Records the start time that the process at the other end reports.
+    pub fn set_peer_start(&mut self, started_ms: Option<u64>) {
+        self.peer_start = Some(started_ms);
     }
 
     /// Returns whether the connection was used for more than one request, so that a response may be
@@ -169,6 +196,12 @@
     response.headers().get(headers::ATTEMPT).is_some_and(|echoed| Some(echoed) != id)
 }
 
+/// Returns whether a response is delimited by its framing, not by the end of its connection.
+pub fn is_delimited(headers: &HeaderMap) -> bool {
+    let names = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    names.iter().any(|name| headers.contains_key(name))
+}
+
 fn idle_timeout<B>(response: &Response<B>) -> Duration {
     let value = response.headers().get("keep-alive").and_then(|value| value.to_str().ok());
     let stated = value
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -12,6 +12,7 @@
     desired::{Desired, InForce},
     job::JobId,
     members::Members,
+    origins::Origins,
     readiness::Readiness,
     store::{RowKey, RowVersion, StoreTx, TxEnd},
     suspects::Suspects,
@@ -32,6 +33,7 @@
 
 use super::{
     clock,
+    origins::Records,
     permits::{self, ServerClient},
     rows,
     runner::Runner,
@@ -80,6 +82,10 @@
     pub backends: RefCell<Backends>,
     pub members: RefCell<Members>,
     pub suspects: RefCell<Suspects>,
+    pub origins: RefCell<Origins>,
+    pub records: Records,
+    /// Incarnation of this start of the daemon; 0 until its first heartbeat is written.
+    pub incarnation: Cell<u64>,
     /// Servers with a leaving row in the store, with the time at which the row was read.
     pub leaving_rows: RefCell<FxHashMap<ServerId, Now>>,
     /// Servers with a limit row in the store, with the time at which the row was read.
@@ -116,6 +122,9 @@
             desired: RefCell::default(),
             backends: RefCell::default(),
             suspects: RefCell::default(),
+            origins: RefCell::default(),
+            records: Records::default(),
+            incarnation: Cell::new(0),
             leaving_rows: RefCell::default(),
             members: RefCell::new(Members::new(settings.host.clone())),
             limit_rows: RefCell::default(),
--- a/crates/daemon/src/hosted/permits.rs
+++ b/crates/daemon/src/hosted/permits.rs
@@ -15,7 +15,7 @@
     store::{RowKey, StoreTx, TxEnd},
     Now,
 };
-use buckthornfall_platform::limits;
+use buckthornfall_platform::{limits, servers};
 use buckthornfall_proto::messages::{
     LimitNotice, LimitRow, PeerMessage, PermitReply, PermitRequest,
 };
@@ -23,7 +23,7 @@
 use http::{Request, Response};
 use log::{info, warn};
 use rustc_hash::{FxHashMap, FxHashSet};
-use snafu::Snafu;
+use snafu::{OptionExt, Snafu};
 use tokio::{
     sync::{oneshot, Notify},
     time::{sleep, timeout},
@@ -94,6 +94,49 @@
         self.pool.get(permit.server.addr, connect_timeout).await
     }
 
+    /// Like `get`, for a request whose response must come from the process that the server's entry
+    /// describes: another one may have started under the same id, with other software. Asks the process
+    /// once for each connection, within `report_timeout`.
+    pub async fn get_verified(
+        &self,
+        node: &Rc<Node>,
+        permit: Permit,
+        class: PermitClass,
+        connect_timeout: Duration,
+        report_timeout: Duration,
+    ) -> client::Result<Connection> {
+        let server = permit.server.clone();
+        let mut conn = self.get(permit, connect_timeout).await?;
+        if server.software.is_empty() || server.started_ms == 0 {
+            return Ok(conn);
+        }
+        let addr = server.addr;
+        if conn.peer_start().is_none() {
+            // The report is a request of its own, for which a limited server wants a permit.
+            if acquire(node, &server, "", class, Duration::ZERO).await.is_err() {
+                return client::OtherProcessSnafu { addr }.fail();
+            }
+            let report = async {
+                let response = conn.send(servers::report_request(&server)).await?;
+                conn.read(response).await
+            };
+            let report = timeout(report_timeout, report).await.ok();
+            let report = report.context(client::TimedOutSnafu { addr, timeout: report_timeout });
+            // Nothing of the request itself was sent.
+            let report = report
+                .and_then(|report| report)
+                .map_err(|e| client::Error::Connect { addr, reason: e.to_string() })?;
+            conn.set_peer_start(servers::reported_start(&report));
+        }
+        let start = conn.peer_start().flatten();
+        if start.is_some_and(|started_ms| started_ms != server.started_ms) {
+            info!(server = server.id.as_str(), started_ms = server.started_ms, reported_ms:? = start;
+                "server_process_differs");
+            return client::OtherProcessSnafu { addr }.fail();
+        }
+        Ok(conn)
+    }
+
     /// Sends the request that the permit is for, and reads the whole response.
     pub async fn call(
         &self,
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -1,7 +1,10 @@
 //! Keys and encoding of the rows that daemons keep in the store.
 
 use buckthornfall_core::store::{RowKey, StoredRow};
-use buckthornfall_proto::messages::ResultRow;
+use buckthornfall_proto::{
+    digest::{fingerprint, sha256_hex},
+    messages::ResultRow,
+};
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{de::DeserializeOwned, Serialize};
 
@@ -27,6 +30,14 @@
 pub const LEAVING_PREFIX: &str = "leaving/";
 /// Key prefix of the request limits that servers stated.
 pub const LIMIT_PREFIX: &str = "limit/";
+/// Key prefix of the base software versions of services.
+pub const SOFTWARE_PREFIX: &str = "software/";
+/// Key prefix of how far daemons have followed this table.
+pub const SEEN_PREFIX: &str = "seen/";
+/// Table of the software versions that began callers' streams, in `ORIGIN_PARTS` partitions.
+pub const ORIGINS: &str = "origins";
+/// Number of partitions of `ORIGINS`; the store runs the transactions of one partition one by one.
+pub const ORIGIN_PARTS: u64 = 4;
 /// Key of the plan.
 pub const PLAN_KEY: &str = "plan";
 
@@ -54,6 +65,13 @@
     row.key.key.split('.').next().unwrap_or_default()
 }
 
+/// Returns the key of the record of a stream, by the attempt that began it. Ids of attempts may be
+/// longer than a key.
+pub fn origin_key(stream: &str) -> RowKey {
+    let part = fingerprint(&[stream.as_bytes()]) % ORIGIN_PARTS;
+    RowKey::new(ORIGINS, &part.to_string(), &sha256_hex(stream.as_bytes()))
+}
+
 /// Splits a result into rows. The first byte of the first row is the number of rows.
 pub fn encode_result(
     job: &str,
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use buckthornfall_core::{
-    backends::{Ended, ServerQuery},
+    backends::{Ended, ServerQuery, SoftwareChoice},
     job::{ScoreEnd, Scorer},
     permits::PermitClass,
 };
@@ -49,7 +49,13 @@
         };
         let service = route.target(fingerprint(&[scorer.id.as_bytes()]));
         let class = PermitClass::job(route.priority);
-        let query = ServerQuery { service, location: &node.location, tried: &[], class };
+        let query = ServerQuery {
+            service,
+            location: &node.location,
+            tried: &[],
+            class,
+            software: SoftwareChoice::Any,
+        };
         let chosen = node.choose_server(query);
         let route_timeout = route.timeout.unwrap_or(DEFAULT_TIMEOUT);
         let attempt_timeout =
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -16,12 +16,19 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use super::{clock, http::Connection, node::Node, permits};
+use super::{
+    clock,
+    http::{self as client, Connection, Error},
+    node::Node,
+    permits,
+};
 
 /// Timeout of connecting to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum wait for a permit of a limited server; meanwhile the run holds a slot of it.
 const PERMIT_PATIENCE: Duration = Duration::from_millis(500);
+/// Timeout of the report that tells the start time of a server process.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Timeout of the response head; leaves time for a load of weights and for a full batch that runs
 /// before the request.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -94,8 +101,12 @@
         Err(e) => return fail(RunEnd::Denied, e),
     };
     let sent_at = permit.sent_at();
-    let mut conn = match node.servers.get(permit, CONNECT_TIMEOUT).await {
+    let class = PermitClass::job(req.priority);
+    let conn =
+        node.servers.get_verified(node, permit, class, CONNECT_TIMEOUT, REPORT_TIMEOUT).await;
+    let mut conn = match conn {
         Ok(conn) => conn,
+        Err(e @ Error::OtherProcess { .. }) => return fail(RunEnd::Refused, e),
         Err(e) => return fail(RunEnd::Broken, e),
     };
     let message = match build_request(req) {
@@ -121,7 +132,7 @@
         None if req.after.is_some() => {}
         None => return fail(RunEnd::Broken, "the response has no version header"),
     }
-    let is_delimited = is_delimited(&response);
+    let is_delimited = client::is_delimited(response.headers());
     read_events(node, run, response.into_body(), run_log).await?;
     if !is_delimited {
         // A crash of the server also closes the connection, so the next run has to confirm the end.
@@ -162,12 +173,6 @@
     fail(RunEnd::Broken, "the response belongs to another request")
 }
 
-/// Returns whether the response is delimited by its framing, not by the close of its connection.
-fn is_delimited<B>(response: &Response<B>) -> bool {
-    let names = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-    names.iter().any(|name| response.headers().contains_key(name))
-}
-
 async fn read_refusal(
     node: &Rc<Node>,
     conn: Connection,
