Streams and answers that a server cuts short never look complete

What callers saw: a 200 whose stream had ended with the server's connection, at the boundary of an event or before its first byte, framed as whole; a 200 with an empty body where the server had stopped after the head of an answer without a length.

Cause: the end of a connection passed for the end of the response. A server that crashes closes its connections too.

Why it works: a stream is complete only by its length or chunks; without these it is passed on and then cut off, so that its caller takes it up. Its head is passed on with its first event, so a stream that ends before is an error. The error of a later server was not found to reach a stream: daemons resume nothing within one response.

--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -11,7 +11,9 @@
 use buckthornfall_platform::headers;
 use buckthornfall_proto::{digest::fingerprint, ids::ServerId};
 use bytes::Bytes;
-use http::{header, request, HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::{
+    header, request, HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode,
+};
 use log::info;
 use tokio::time::{sleep, timeout};
 
@@ -306,7 +308,7 @@
             guard.end(Ended::Refused);
             AttemptOutcome::NotRun(reason)
         }
-        Ok(Err(ExchangeError::NoEvent(reason))) => {
+        Ok(Err(ExchangeError::Incomplete(reason))) => {
             guard.end(Ended::Failed);
             AttemptOutcome::Failed(Failure { reason, response: None, crashed: true })
         }
@@ -335,8 +337,8 @@
     Http(Error),
     /// The request was not sent.
     NotSent(String),
-    /// The stream ended before its first event.
-    NoEvent(String),
+    /// The response ended too early, a stream before its first event.
+    Incomplete(String),
     /// The stream began, but its first event must not be passed on.
     NotRecorded(&'static str),
 }
@@ -382,17 +384,25 @@
     node.on_response(&server.id, server.started_ms, sent_at, &response);
     let is_streaming = route.kind == RouteKind::Stream && response.status() == StatusCode::OK;
     if !is_streaming {
-        return Ok((conn.read(response).await?.map(Received::Full), conn));
+        let is_delimited = client::is_delimited(response.headers());
+        let response = conn.read(response).await?;
+        // The server stopped after its head, unless the response has no body by its nature.
+        let may_be_empty = head.method == Method::HEAD || response.status() != StatusCode::OK;
+        if !is_delimited && response.body().is_empty() && !may_be_empty {
+            let reason = "the response has neither a length nor a body".to_owned();
+            return Err(ExchangeError::Incomplete(reason));
+        }
+        return Ok((response.map(Received::Full), conn));
     }
     let (head, mut body) = response.into_parts();
     let is_delimited = client::is_delimited(&head.headers);
-    let start = streams::read_first_event(&mut body).await.map_err(ExchangeError::NoEvent)?;
+    let start = streams::read_first_event(&mut body).await.map_err(ExchangeError::Incomplete)?;
     let start = match start {
         Start::Event(start) => start,
         // Nothing follows the last event of a resumed stream that had ended.
         Start::Ended(start) if start.is_empty() && is_delimited => start,
         Start::Ended(_) => {
-            return Err(ExchangeError::NoEvent(
+            return Err(ExchangeError::Incomplete(
                 "the stream ends before its first event".to_owned(),
             ));
         }
