Pass on what arrived of a stream before it is cut off; soak and limits with two versions

- 0 take-ups went on in 121 streams: the end of a broken stream followed its last events within one poll, and the connection dropped what it had not written yet.
Callers lost the events that had arrived.
The error now waits until the connection has written.

--- a/crates/daemon/src/hosted/body.rs
+++ b/crates/daemon/src/hosted/body.rs
@@ -94,6 +94,8 @@
     /// Aborts the response at the caller's deadline.
     deadline: Pin<Box<Sleep>>,
     tail: Tail,
+    /// Error that ends the response once what was received before has been passed on.
+    failure: Option<RelayError>,
 }
 
 /// Last bytes of an event stream. A server that crashes in the middle of an event may close its
@@ -188,10 +190,38 @@
         let deadline = Box::pin(sleep(until.saturating_sub(clock::now())));
         let StreamStart { start, body, is_delimited } = response;
         let (node, tail) = (Rc::clone(node), Tail::default());
-        Relay { start, body, is_delimited, conn: Some(conn), node, server, deadline, tail }
+        Relay {
+            start,
+            body,
+            is_delimited,
+            conn: Some(conn),
+            node,
+            server,
+            deadline,
+            tail,
+            failure: None,
+        }
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        if let Some(failure) = self.failure.take() {
+            return Poll::Ready(Some(Err(failure)));
+        }
+        match ready!(self.poll_frame(cx)) {
+            Some(Err(failure)) => {
+                // The connection writes what it has buffered before it polls again.
+                self.failure = Some(failure);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            next => Poll::Ready(next),
+        }
+    }
+
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
         if self.deadline.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Some(DeadlineExceededSnafu.fail()));
         }
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -22,7 +22,7 @@
     clock,
     http::{self as client, Connection, Error},
     node::Node,
-    permits::{self, Permit},
+    permits::{self, Permit, Verification, VerifyError},
     responses,
     streams::{self, Choice, Scope, Start},
 };
@@ -252,6 +252,10 @@
     if node.backends.borrow().has_unlimited(clock::now(), query) {
         return Duration::ZERO;
     }
+    max_permit_patience(route, remaining)
+}
+
+fn max_permit_patience(route: &Route, remaining: Duration) -> Duration {
     route.objective.unwrap_or(DEFAULT_OBJECTIVE).min(remaining) / 2
 }
 
@@ -343,6 +347,15 @@
     NotRecorded(&'static str),
 }
 
+impl From<VerifyError> for ExchangeError {
+    fn from(e: VerifyError) -> ExchangeError {
+        match e {
+            VerifyError::Connection { source } => ExchangeError::Http(source),
+            e => ExchangeError::NotSent(e.to_string()),
+        }
+    }
+}
+
 impl From<Error> for ExchangeError {
     fn from(e: Error) -> ExchangeError {
         ExchangeError::Http(e)
@@ -356,18 +369,18 @@
     remaining: Duration,
 ) -> Result<(Response<Received>, Connection), ExchangeError> {
     let CallerRequest { route, head, body, scope } = req;
-    let (server, sent_at) = (permit.server().clone(), permit.sent_at());
+    let (server, permitted_at) = (permit.server().clone(), permit.sent_at());
     let connect_timeout = CONNECT_TIMEOUT.min(remaining);
-    let mut conn = match scope {
-        Scope::Any => node.servers.get(permit, connect_timeout).await?,
+    let (mut conn, sent_at) = match scope {
+        Scope::Any => (node.servers.get(permit, connect_timeout).await?, permitted_at),
         Scope::New(_) | Scope::Resumed(_) => {
-            let class = PermitClass::caller(route.priority);
-            let conn =
-                node.servers.get_verified(node, permit, class, connect_timeout, REPORT_TIMEOUT);
-            conn.await.map_err(|e| match e {
-                Error::OtherProcess { .. } => ExchangeError::NotSent(e.to_string()),
-                e => ExchangeError::Http(e),
-            })?
+            let verification = Verification {
+                connect_timeout,
+                report_timeout: REPORT_TIMEOUT,
+                class: PermitClass::caller(route.priority),
+                patience: max_permit_patience(route, remaining),
+            };
+            node.servers.get_verified(node, permit, verification).await?
         }
     };
     let pending = match scope {
--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -56,12 +56,6 @@
         /// Address of the peer.
         addr: SocketAddr,
     },
-    /// The process at the other end is not the one that the server's entry describes.
-    #[snafu(display("the process at {addr} is not the one that the server's entry describes"))]
-    OtherProcess {
-        /// Address of the server.
-        addr: SocketAddr,
-    },
     /// No complete response was received within the timeout.
     #[snafu(display("no answer from {addr} within {timeout:?}"))]
     TimedOut {
--- a/crates/daemon/src/hosted/permits.rs
+++ b/crates/daemon/src/hosted/permits.rs
@@ -96,45 +96,42 @@
 
     /// Like `get`, for a request whose response must come from the process that the server's entry
     /// describes: another one may have started under the same id, with other software. Asks the process
-    /// once for each connection, within `report_timeout`.
+    /// once for each connection.
     pub async fn get_verified(
         &self,
         node: &Rc<Node>,
         permit: Permit,
-        class: PermitClass,
-        connect_timeout: Duration,
-        report_timeout: Duration,
-    ) -> client::Result<Connection> {
-        let server = permit.server.clone();
-        let mut conn = self.get(permit, connect_timeout).await?;
+        verification: Verification,
+    ) -> Result<(Connection, Now), VerifyError> {
+        let Permit { server, sent_at } = permit;
+        let addr = server.addr;
+        let mut conn = self.pool.get(addr, verification.connect_timeout).await?;
         if server.software.is_empty() || server.started_ms == 0 {
-            return Ok(conn);
+            return Ok((conn, sent_at));
         }
-        let addr = server.addr;
-        if conn.peer_start().is_none() {
-            // The report is a request of its own, for which a limited server wants a permit.
-            if acquire(node, &server, "", class, Duration::ZERO).await.is_err() {
-                return client::OtherProcessSnafu { addr }.fail();
-            }
-            let report = async {
-                let response = conn.send(servers::report_request(&server)).await?;
-                conn.read(response).await
-            };
-            let report = timeout(report_timeout, report).await.ok();
-            let report = report.context(client::TimedOutSnafu { addr, timeout: report_timeout });
-            // Nothing of the request itself was sent.
-            let report = report
-                .and_then(|report| report)
-                .map_err(|e| client::Error::Connect { addr, reason: e.to_string() })?;
-            conn.set_peer_start(servers::reported_start(&report));
+        let is_new = conn.peer_start().is_none();
+        if is_new {
+            let start = report_start(&mut conn, &server, verification.report_timeout).await?;
+            conn.set_peer_start(start);
         }
         let start = conn.peer_start().flatten();
         if start.is_some_and(|started_ms| started_ms != server.started_ms) {
             info!(server = server.id.as_str(), started_ms = server.started_ms, reported_ms:? = start;
                 "server_process_differs");
-            return client::OtherProcessSnafu { addr }.fail();
+            return Err(VerifyError::OtherProcess { addr });
+        }
+        if !is_new {
+            return Ok((conn, sent_at));
+        }
+        // The report has used the permit.
+        let Verification { class, patience, .. } = verification;
+        match acquire(node, &server, "", class, patience).await {
+            Ok(permit) => Ok((conn, permit.sent_at)),
+            Err(denied) => {
+                self.pool.put(conn);
+                Err(denied.into())
+            }
         }
-        Ok(conn)
     }
 
     /// Sends the request that the permit is for, and reads the whole response.
@@ -164,6 +161,62 @@
     }
 }
 
+/// How a connection is verified.
+#[derive(Debug, Clone, Copy)]
+pub struct Verification {
+    /// Timeout of connecting.
+    pub connect_timeout: Duration,
+    /// Timeout of the report.
+    pub report_timeout: Duration,
+    /// Class of the request in the queue for permits.
+    pub class: PermitClass,
+    /// Maximum wait for a permit of a limited server.
+    pub patience: Duration,
+}
+
+/// Why there is no verified connection. Nothing of the request was sent.
+#[derive(Debug, Snafu)]
+pub enum VerifyError {
+    /// The connection failed.
+    #[snafu(context(false), display("{source}"))]
+    Connection {
+        /// The cause.
+        source: client::Error,
+    },
+    /// The request limit of the server does not admit the request in time.
+    #[snafu(context(false), display("{source}"))]
+    Limited {
+        /// The cause.
+        source: Denied,
+    },
+    /// The process at the other end is not the one that the server's entry describes.
+    #[snafu(display("the process at {addr} is not the one that the server's entry describes"))]
+    OtherProcess {
+        /// Address of the server.
+        addr: SocketAddr,
+    },
+}
+
+/// Asks a server for the start time of its process; `None` if it does not report one.
+async fn report_start(
+    conn: &mut Connection,
+    server: &Backend,
+    report_timeout: Duration,
+) -> client::Result<Option<u64>> {
+    let addr = server.addr;
+    let report = async {
+        let response = conn.send(servers::report_request(server)).await?;
+        conn.read(response).await
+    };
+    let report = timeout(report_timeout, report).await.ok();
+    let report = report.context(client::TimedOutSnafu { addr, timeout: report_timeout });
+    // Nothing of the request itself was sent.
+    let report = report
+        .and_then(|report| report)
+        .map_err(|e| client::Error::Connect { addr, reason: e.to_string() })?;
+    Ok(servers::reported_start(&report))
+}
+
 /// Requests a permit to send the request `id` to a server. Waits for at most about `patience`.
 pub async fn acquire(
     node: &Rc<Node>,
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -18,9 +18,9 @@
 
 use super::{
     clock,
-    http::{self as client, Connection, Error},
+    http::{self as client, Connection},
     node::Node,
-    permits,
+    permits::{self, Verification, VerifyError},
 };
 
 /// Timeout of connecting to a server.
@@ -100,14 +100,17 @@
         Ok(permit) => permit,
         Err(e) => return fail(RunEnd::Denied, e),
     };
-    let sent_at = permit.sent_at();
-    let class = PermitClass::job(req.priority);
-    let conn =
-        node.servers.get_verified(node, permit, class, CONNECT_TIMEOUT, REPORT_TIMEOUT).await;
-    let mut conn = match conn {
-        Ok(conn) => conn,
-        Err(e @ Error::OtherProcess { .. }) => return fail(RunEnd::Refused, e),
-        Err(e) => return fail(RunEnd::Broken, e),
+    let verification = Verification {
+        connect_timeout: CONNECT_TIMEOUT,
+        report_timeout: REPORT_TIMEOUT,
+        class: PermitClass::job(req.priority),
+        patience: PERMIT_PATIENCE,
+    };
+    let (mut conn, sent_at) = match node.servers.get_verified(node, permit, verification).await {
+        Ok(verified) => verified,
+        Err(e @ VerifyError::Connection { .. }) => return fail(RunEnd::Broken, e),
+        Err(e @ VerifyError::Limited { .. }) => return fail(RunEnd::Denied, e),
+        Err(e @ VerifyError::OtherProcess { .. }) => return fail(RunEnd::Refused, e),
     };
     let message = match build_request(req) {
         Ok(message) => message,
