--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -14,7 +14,7 @@
 };
 
 /// Events that change the state of a daemon; included for each daemon that logged the id.
-const DAEMON_EVENTS: [&str; 12] = [
+const DAEMON_EVENTS: [&str; 13] = [
     "started",
     "stopping",
     "stopped",
@@ -27,13 +27,15 @@
     "desired_state_installed",
     "settings_reloaded",
     "settings_unreadable",
+    "software_mode",
 ];
 /// Events of a server; included for each daemon that logged the id, if a line with the id names the
 /// server.
-const SERVER_EVENTS: [&str; 5] = [
+const SERVER_EVENTS: [&str; 6] = [
     "server_entry",
     "server_entry_removed",
     "server_limit",
+    "server_process_differs",
     "server_limit_withdrawn",
     "weights_ordered",
 ];
--- a/crates/cli/src/incident.rs
+++ b/crates/cli/src/incident.rs
@@ -26,11 +26,12 @@
 ];
 /// Events with an outcome: event, field of the outcome, values that mean success. Successful ones
 /// are left out.
-const EVENTS_WITH_OUTCOME: [(&str, &str, &[&str]); 4] = [
+const EVENTS_WITH_OUTCOME: [(&str, &str, &[&str]); 5] = [
     ("permit", "outcome", &["granted"]),
     ("request_sent", "outcome", &["answered"]),
     ("request_answered", "status", &["200", "202"]),
     ("run_ended", "outcome", &["Complete"]),
+    ("stream_resumed", "origin", &["memory", "record", "base"]),
 ];
 
 /// Summary of the log lines with the same event and cause.
@@ -77,6 +78,10 @@
     if ROUTINE_EVENTS.contains(&line.event.as_str()) {
         return None;
     }
+    if line.event == "software_mode" {
+        let field = |key| line.field(key).unwrap_or_default();
+        return Some(format!("{} {}", field("service"), field("mode")));
+    }
     let Some((_, key, successes)) =
         EVENTS_WITH_OUTCOME.iter().find(|(event, ..)| *event == line.event)
     else {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -139,6 +139,26 @@
     insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
 }
 
+/// Writes a log in which versions become mixed, a stream is taken up and another is refused.
+fn write_stream_log(test: &str) -> String {
+    let log = "time=2026-12-04T08:16:08.000Z level=info event=software_mode service=chat base=v1 mode=guarded row_version=8\n\
+        time=2026-12-04T08:16:09.000Z level=info event=software_mode service=chat base=v1 mode=mixed row_version=9\n\
+        time=2026-12-04T08:16:10.000Z level=info event=stream_resumed request=r2 stream=r1 service=chat software=v2 origin=record reason=\"\"\n\
+        time=2026-12-04T08:16:10.020Z level=info event=request_sent request=r2 server=s2 software=v2 resumes=r1 after=3 outcome=answered\n\
+        time=2026-12-04T08:16:11.000Z level=info event=stream_resumed request=r4 stream=r3 service=chat software=\"\" origin=unknown reason=\"no stream of the service is known\"\n";
+    write_temporary(&format!("{test}-stream.log"), log)
+}
+
+#[test]
+fn explain_and_incident_tell_the_origin_of_resumed_streams() {
+    let output = run(&["explain", "r2", &write_stream_log("explain")]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    insta::assert_snapshot!("explain_stream", String::from_utf8_lossy(&output.stdout));
+    let output = run(&["incident", &write_stream_log("incident")]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    insta::assert_snapshot!("incident_stream", String::from_utf8_lossy(&output.stdout));
+}
+
 #[test]
 fn report_capacity_lists_what_limited_servers_still_take() {
     let output = run(&["report", "capacity", &write_limit_log("capacity")]);
--- a/crates/daemon/src/hosted/origins.rs
+++ b/crates/daemon/src/hosted/origins.rs
@@ -35,7 +35,7 @@
 const MAX_RECORDS: usize = 100;
 /// Pause after a batch of records, for each daemon, so that all together stay within the writes that
 /// the store takes.
-const BATCH_PAUSE_PER_DAEMON: Duration = Duration::from_millis(2);
+const BATCH_PAUSE_PER_DAEMON: Duration = Duration::from_millis(8);
 /// Maximum pause after a batch of records: a quarter of a usual objective.
 const MAX_BATCH_PAUSE: Duration = Duration::from_millis(100);
 /// Interval between removals of expired records.
