Log and export what a daemon knows of its paths to servers

Nothing in logs or metrics told a host that is cut off from one whose servers failed: failures were kept by server only. A daemon now tells by service the time since the last response, connections that hang against those that are refused, and whether it has lost all paths, which probes to servers in different zones confirm. The directory logs what it names.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod publish;
 pub mod quarantine;
 pub mod rate_limit;
+pub mod reachability;
 pub mod readiness;
 pub mod relay;
 pub mod retention;
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -14,6 +14,7 @@
 mod node;
 mod origins;
 mod owners;
+mod paths;
 mod peers;
 mod permits;
 mod reload;
@@ -150,6 +151,7 @@
     tokio::task::spawn_local(cleanup::run(Rc::clone(&node)));
     tokio::task::spawn_local(permits::run(Rc::clone(&node)));
     tokio::task::spawn_local(origins::run(Rc::clone(&node)));
+    tokio::task::spawn_local(paths::run(Rc::clone(&node)));
     info!(host = config.host.as_str(), zone = config.zone.as_str(), front:% = config.front, store:% = config.store; "started");
     tokio::task::spawn_local(reload::watch(Rc::clone(&node), changed));
     terminate.recv().await;
--- a/crates/daemon/src/hosted/body.rs
+++ b/crates/daemon/src/hosted/body.rs
@@ -7,8 +7,10 @@
     task::{ready, Context, Poll},
 };
 
-use buckthornfall_core::{backends::Ended, Now};
-use buckthornfall_proto::ids::ServerId;
+use buckthornfall_core::{
+    backends::{Backend, Ended},
+    Now,
+};
 use bytes::Bytes;
 use http::Response;
 use http_body_util::Full;
@@ -16,7 +18,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::{sleep, Sleep};
 
-use super::{clock, http::Connection, node::Node};
+use super::{clock, http::Connection, node::Node, paths};
 
 /// Counts a request of a caller as in flight until the response has been passed to its connection
 /// in full.
@@ -90,7 +92,7 @@
     is_delimited: bool,
     conn: Option<Connection>,
     node: Rc<Node>,
-    server: ServerId,
+    server: Backend,
     /// Aborts the response at the caller's deadline.
     deadline: Pin<Box<Sleep>>,
     tail: Tail,
@@ -141,7 +143,7 @@
     fn drop(&mut self) {
         // The connection is returned to the pool only at the end of a complete response.
         let outcome = if self.conn.is_some() { Ended::Cancelled } else { Ended::Done };
-        self.node.backends.borrow_mut().ended(clock::now(), &self.server, outcome);
+        self.node.backends.borrow_mut().ended(clock::now(), &self.server.id, outcome);
     }
 }
 
@@ -182,7 +184,7 @@
     /// Creates the relay of a response of `server`, which is aborted at the time `until`.
     pub fn new(
         node: &Rc<Node>,
-        server: ServerId,
+        server: Backend,
         conn: Connection,
         response: StreamStart,
         until: Now,
@@ -233,6 +235,7 @@
         match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
+                    paths::on_response(&self.node, &self.server.service);
                     self.tail.push(data);
                 }
                 Poll::Ready(Some(Ok(frame)))
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -81,6 +81,10 @@
     metrics::gauge!("servers_known").set(node.backends.borrow().all().count() as f64);
     metrics::gauge!("jobs_known").set(node.jobs.borrow().len() as f64);
     metrics::gauge!("requests_in_flight").set(node.in_flight.get() as f64);
+    for (service, silence) in node.reachability.borrow().silences(now) {
+        metrics::gauge!("service_silence_seconds", "service" => service.clone())
+            .set(silence.as_secs_f64());
+    }
     node.metrics.run_upkeep();
     full_response(Response::new(Bytes::from(node.metrics.render())))
 }
@@ -134,9 +138,21 @@
         }
         addresses.push(own_address);
     }
+    log_change(node, zone, &addresses);
     interface::entries(&addresses, DIRECTORY_TTL.min(node.settings().entry_ttl_max))
 }
 
+/// Logs the addresses that callers of a zone are told, whenever they change.
+fn log_change(node: &Node, zone: &str, addresses: &[String]) {
+    let mut told = node.told_addresses.borrow_mut();
+    let is_known = node.location.regions.contains_key(zone);
+    if !is_known || told.get(zone).is_some_and(|told| told == addresses) {
+        return;
+    }
+    info!(zone, addresses:? = addresses; "directory_changed");
+    told.insert(zone.to_owned(), addresses.to_vec());
+}
+
 async fn route(node: &Rc<Node>, head: &request::Parts, body: Bytes) -> Response<ResponseBody> {
     let Some(desired) = node.desired() else {
         return full_response(responses::not_run("no desired state is known yet"));
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -295,7 +295,7 @@
         remaining.min(MIN_ATTEMPT_TIMEOUT.max(service_time * SERVICE_TIME_FACTOR))
     };
     let started = clock::now();
-    let guard = AttemptGuard::new(node, &server.id, deadline);
+    let guard = AttemptGuard::new(node, &server, deadline);
     let end = timeout(attempt_timeout, exchange(node, req, permit, remaining)).await;
     let now = clock::now();
     let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
@@ -372,7 +372,7 @@
     let (server, permitted_at) = (permit.server().clone(), permit.sent_at());
     let connect_timeout = CONNECT_TIMEOUT.min(remaining);
     let (mut conn, sent_at) = match scope {
-        Scope::Any => (node.servers.get(permit, connect_timeout).await?, permitted_at),
+        Scope::Any => (node.servers.get(node, permit, connect_timeout).await?, permitted_at),
         Scope::New(_) | Scope::Resumed(_) => {
             let verification = Verification {
                 connect_timeout,
@@ -513,25 +513,25 @@
 /// A request in flight at a server; recorded as cancelled when dropped before its end.
 struct AttemptGuard {
     node: Rc<Node>,
-    server: Option<ServerId>,
+    server: Option<Backend>,
     /// The caller's deadline.
     deadline: Now,
 }
 
 impl AttemptGuard {
-    fn new(node: &Rc<Node>, server: &ServerId, deadline: Now) -> AttemptGuard {
-        node.backends.borrow_mut().started(server);
+    fn new(node: &Rc<Node>, server: &Backend, deadline: Now) -> AttemptGuard {
+        node.backends.borrow_mut().started(&server.id);
         AttemptGuard { node: Rc::clone(node), server: Some(server.clone()), deadline }
     }
 
     fn end(mut self, outcome: Ended) {
         if let Some(server) = self.server.take() {
-            self.node.backends.borrow_mut().ended(clock::now(), &server, outcome);
+            self.node.backends.borrow_mut().ended(clock::now(), &server.id, outcome);
         }
     }
 
     fn relay(mut self, stream: StreamStart, conn: Connection) -> Relay {
-        let server = self.server.take().unwrap_or_default();
+        let server = self.server.take().expect("the attempt has not ended");
         Relay::new(&self.node, server, conn, stream, self.deadline)
     }
 }
@@ -539,7 +539,7 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         if let Some(server) = self.server.take() {
-            self.node.backends.borrow_mut().ended(clock::now(), &server, Ended::Cancelled);
+            self.node.backends.borrow_mut().ended(clock::now(), &server.id, Ended::Cancelled);
         }
     }
 }
--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -29,6 +29,8 @@
     Connect {
         /// Address of the peer.
         addr: SocketAddr,
+        /// Whether the peer did not respond at all.
+        hung: bool,
         /// The cause.
         reason: String,
     },
@@ -111,7 +113,8 @@
 }
 
 impl Connection {
-    async fn open(addr: SocketAddr, connect_timeout: Duration) -> Result<Connection> {
+    /// Opens a connection.
+    pub async fn open(addr: SocketAddr, connect_timeout: Duration) -> Result<Connection> {
         let connect = async {
             let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
             stream.set_nodelay(true).map_err(|e| e.to_string())?;
@@ -121,8 +124,10 @@
         };
         let connected = timeout(connect_timeout, connect).await.ok();
         let connected = connected.context(TimedOutSnafu { addr, timeout: connect_timeout });
-        let connected = connected.map_err(|e| Error::Connect { addr, reason: e.to_string() })?;
-        let (tx, conn) = connected.map_err(|reason| Error::Connect { addr, reason })?;
+        let connected =
+            connected.map_err(|e| Error::Connect { addr, hung: true, reason: e.to_string() })?;
+        let (tx, conn) =
+            connected.map_err(|reason| Error::Connect { addr, hung: false, reason })?;
         // Errors of the connection are reported by the requests sent on it.
         let task = task::spawn_local(async move { drop(conn.await) }).abort_handle();
         Ok(Connection {
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -13,6 +13,7 @@
     job::JobId,
     members::Members,
     origins::Origins,
+    reachability::Reachability,
     readiness::Readiness,
     store::{RowKey, RowVersion, StoreTx, TxEnd},
     suspects::Suspects,
@@ -34,6 +35,7 @@
 use super::{
     clock,
     origins::Records,
+    paths,
     permits::{self, ServerClient},
     rows,
     runner::Runner,
@@ -84,6 +86,7 @@
     pub suspects: RefCell<Suspects>,
     pub origins: RefCell<Origins>,
     pub records: Records,
+    pub reachability: RefCell<Reachability>,
     /// Incarnation of this start of the daemon; 0 until its first heartbeat is written.
     pub incarnation: Cell<u64>,
     /// Servers with a leaving row in the store, with the time at which the row was read.
@@ -103,6 +106,8 @@
     pub readiness: RefCell<Readiness>,
     /// Notified when a planned stop begins, and when a request ends during it.
     pub stop: Notify,
+    /// Addresses that the directory last named to callers of each zone.
+    pub told_addresses: RefCell<FxHashMap<String, Vec<String>>>,
     /// Notified when this daemon becomes the owner of a job.
     pub job_taken: Notify,
     pub actors: OnceCell<Actors>,
@@ -124,6 +129,7 @@
             suspects: RefCell::default(),
             origins: RefCell::default(),
             records: Records::default(),
+            reachability: RefCell::default(),
             incarnation: Cell::new(0),
             leaving_rows: RefCell::default(),
             members: RefCell::new(Members::new(settings.host.clone())),
@@ -136,6 +142,7 @@
             requests: Cell::new(0),
             readiness: RefCell::default(),
             stop: Notify::new(),
+            told_addresses: RefCell::default(),
             job_taken: Notify::new(),
             actors: OnceCell::new(),
             settings: RefCell::new(Rc::new(settings)),
@@ -213,6 +220,10 @@
         sent_at: Now,
         response: &Response<B>,
     ) {
+        let service = self.backends.borrow().get(server).map(|entry| entry.service.clone());
+        if let Some(service) = service {
+            paths::on_response(self, &service);
+        }
         // A 421 may come from another server that now has the address of a server that is gone.
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
             return;
--- /dev/null
+++ b/crates/daemon/src/hosted/paths.rs
@@ -0,0 +1,85 @@
+//! Paths of this daemon to the servers: probes, and what changes once a service is lost or regained.
+
+use std::{rc::Rc, time::Duration};
+
+use buckthornfall_core::reachability::{PathChange, Probe};
+use log::info;
+use tokio::time::sleep;
+
+use super::{
+    clock,
+    http::{Connection, Error},
+    node::Node,
+};
+
+/// Interval between checks for silent services and due probes.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Timeout of opening a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Watches the paths and probes them as needed.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        let (probes, changes) =
+            node.reachability.borrow_mut().tick(clock::now(), &node.backends.borrow());
+        for (service, change) in changes {
+            on_change(&node, &service, change);
+        }
+        for probe in probes {
+            tokio::task::spawn_local(open_probe(Rc::clone(&node), probe));
+        }
+    }
+}
+
+/// Opens a connection to a server, which is kept for requests.
+async fn open_probe(node: Rc<Node>, probe: Probe) {
+    let Probe { service, server } = probe;
+    let conn = Connection::open(server.addr, PROBE_TIMEOUT).await;
+    let connected = conn.is_ok();
+    let detail = conn.as_ref().err().map(Error::to_string).unwrap_or_default();
+    if let Ok(conn) = conn {
+        node.servers.put(conn);
+    }
+    metrics::counter!("path_probes_total", "outcome" => if connected { "connected" } else { "failed" })
+        .increment(1);
+    info!(service, server = server.id.as_str(), connected, detail; "path_probed");
+    let change =
+        node.reachability.borrow_mut().on_probe_end(clock::now(), &service, &server.id, connected);
+    if let Some(change) = change {
+        on_change(&node, &service, change);
+    }
+}
+
+/// Records a response of a server of `service`.
+pub fn on_response(node: &Rc<Node>, service: &str) {
+    let change = node.reachability.borrow_mut().on_response(clock::now(), service);
+    if let Some(change) = change {
+        on_change(node, service, change);
+    }
+}
+
+/// Records the failure of a request to a server, if it failed to connect.
+pub fn on_failure(node: &Rc<Node>, service: &str, server: &str, e: &Error) {
+    let Error::Connect { hung, .. } = e else { return };
+    let how = if *hung { "hung" } else { "refused" };
+    metrics::counter!("server_connects_failed_total", "service" => service.to_owned(), "how" => how)
+        .increment(1);
+    let change = node.reachability.borrow_mut().on_connect_failed(clock::now(), service, server);
+    if let Some(change) = change {
+        on_change(node, service, change);
+    }
+}
+
+fn on_change(node: &Rc<Node>, service: &str, change: PathChange) {
+    let silence_ms = silence(node, service).as_millis() as u64;
+    info!(service, state = change.name(), silence_ms; "service_paths");
+    metrics::gauge!("service_paths_lost", "service" => service.to_owned())
+        .set(if node.reachability.borrow().is_lost(service) { 1.0 } else { 0.0 });
+}
+
+fn silence(node: &Node, service: &str) -> Duration {
+    let reachability = node.reachability.borrow();
+    let mut silences = reachability.silences(clock::now());
+    silences.find(|(of, _)| *of == service).map_or(Duration::ZERO, |(_, silence)| silence)
+}
--- a/crates/daemon/src/hosted/permits.rs
+++ b/crates/daemon/src/hosted/permits.rs
@@ -33,7 +33,7 @@
     clock,
     http::{self as client, Connection, Pool},
     node::Node,
-    rows,
+    paths, rows,
 };
 use crate::peers::Connections;
 
@@ -88,10 +88,21 @@
     /// Returns an idle connection for the request that the permit is for, or opens one.
     pub async fn get(
         &self,
+        node: &Rc<Node>,
         permit: Permit,
         connect_timeout: Duration,
     ) -> client::Result<Connection> {
-        self.pool.get(permit.server.addr, connect_timeout).await
+        self.connect(node, &permit.server, connect_timeout).await
+    }
+
+    async fn connect(
+        &self,
+        node: &Rc<Node>,
+        server: &Backend,
+        connect_timeout: Duration,
+    ) -> client::Result<Connection> {
+        let conn = self.pool.get(server.addr, connect_timeout).await;
+        conn.inspect_err(|e| paths::on_failure(node, &server.service, &server.id, e))
     }
 
     /// Like `get`, for a request whose response must come from the process that the server's entry
@@ -105,7 +116,7 @@
     ) -> Result<(Connection, Now), VerifyError> {
         let Permit { server, sent_at } = permit;
         let addr = server.addr;
-        let mut conn = self.pool.get(addr, verification.connect_timeout).await?;
+        let mut conn = self.connect(node, &server, verification.connect_timeout).await?;
         if server.software.is_empty() || server.started_ms == 0 {
             return Ok((conn, sent_at));
         }
@@ -137,12 +148,15 @@
     /// Sends the request that the permit is for, and reads the whole response.
     pub async fn call(
         &self,
+        node: &Rc<Node>,
         permit: Permit,
         req: Request<Bytes>,
         connect_timeout: Duration,
         call_timeout: Duration,
     ) -> client::Result<Response<Bytes>> {
-        self.pool.call(permit.server.addr, req, connect_timeout, call_timeout).await
+        let server = permit.server;
+        let response = self.pool.call(server.addr, req, connect_timeout, call_timeout).await;
+        response.inspect_err(|e| paths::on_failure(node, &server.service, &server.id, e))
     }
 
     /// Returns whether there is a usable idle connection to `addr`.
@@ -211,9 +225,11 @@
     let report = timeout(report_timeout, report).await.ok();
     let report = report.context(client::TimedOutSnafu { addr, timeout: report_timeout });
     // Nothing of the request itself was sent.
-    let report = report
-        .and_then(|report| report)
-        .map_err(|e| client::Error::Connect { addr, reason: e.to_string() })?;
+    let report = report.and_then(|report| report).map_err(|e| client::Error::Connect {
+        addr,
+        hung: false,
+        reason: e.to_string(),
+    })?;
     Ok(servers::reported_start(&report))
 }
 
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -268,6 +268,7 @@
             }
         }
         Err(Error::Connect {
+            hung: false,
             addr: self.addr.get(),
             reason: "no other daemon could relay the call".to_owned(),
         })
@@ -316,6 +317,7 @@
         let exchange = self.peers.exchange(peer, &message);
         let end = tokio::time::timeout(timeout + RELAY_MARGIN, exchange).await;
         let connect = |reason: String| Error::Connect {
+            hung: false,
             addr: self.addr.get(),
             reason: format!("{peer}: {reason}"),
         };
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -20,6 +20,7 @@
     clock,
     http::{self as client, Connection},
     node::Node,
+    paths,
     permits::{self, Verification, VerifyError},
 };
 
@@ -136,7 +137,7 @@
         None => return fail(RunEnd::Broken, "the response has no version header"),
     }
     let is_delimited = client::is_delimited(response.headers());
-    read_events(node, run, response.into_body(), run_log).await?;
+    read_events(node, req, response.into_body(), run_log).await?;
     if !is_delimited {
         // A crash of the server also closes the connection, so the next run has to confirm the end.
         return fail(RunEnd::Broken, "the stream has no end but that of its connection");
@@ -197,10 +198,11 @@
 
 async fn read_events(
     node: &Rc<Node>,
-    run: RunId,
+    req: &RunRequest,
     mut body: Incoming,
     run_log: &mut RunLog,
 ) -> Result<(), Failure> {
+    let run = req.run;
     let mut buf = BytesMut::new();
     let mut progress = Progress::new(clock::now());
     loop {
@@ -225,6 +227,7 @@
         let new_events = events.len();
         if new_events > 0 {
             progress.on_event(clock::now());
+            paths::on_response(node, &req.server.service);
             events.iter().for_each(|_| run_log.count_event());
             node.with_runner(move |runner, cx| runner.on_events(cx, run, events));
         }
--- a/crates/daemon/src/hosted/weights.rs
+++ b/crates/daemon/src/hosted/weights.rs
@@ -274,7 +274,7 @@
     permit: Permit,
 ) -> Result<Response<Bytes>, Error> {
     let sent_at = permit.sent_at();
-    let response = node.servers.call(permit, req, CONNECT_TIMEOUT, RESPONSE_TIMEOUT).await?;
+    let response = node.servers.call(node, permit, req, CONNECT_TIMEOUT, RESPONSE_TIMEOUT).await?;
     node.on_response(&server.id, server.started_ms, sent_at, &response);
     Ok(response)
 }
