--- a/crates/daemon/src/hosted/body.rs
+++ b/crates/daemon/src/hosted/body.rs
@@ -53,7 +53,7 @@
     /// A complete body.
     Full(Full<Bytes>),
     /// A body that a server is still sending.
-    Relay(Relay),
+    Relay(Box<Relay>),
 }
 
 impl ResponseBody {
@@ -64,7 +64,7 @@
 
     /// Creates a body that a server is still sending.
     pub fn relay(relay: Relay) -> ResponseBody {
-        ResponseBody { source: Source::Relay(relay), _guard: None }
+        ResponseBody { source: Source::Relay(Box::new(relay)), _guard: None }
     }
 
     /// Attaches the guard that counts the request as in flight until the body is sent.
