Leave hosts that are cut off from servers out of the directory

What callers saw: the directory went on naming hosts that reached no server, so callers went there until the cut ended. Cause: a daemon's row says that it is live and has the store, and nothing of the servers. A daemon now writes the services it has lost into a row of its own, only while there are any; one is cut off if it has lost a service that another daemon has not, so a service that is down for all takes nobody out, and if all are cut off all stay. A row of an earlier start of the daemon does not count.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -9,8 +9,8 @@
 
 use buckthornfall_proto::{
     digest::{fingerprint, rendezvous_rank},
-    ids::HostId,
-    messages::{MemberRow, MemberState, SeenRow},
+    ids::{HostId, ServiceName},
+    messages::{MemberRow, MemberState, ReachRow, SeenRow},
 };
 use rustc_hash::FxHashMap;
 
@@ -42,6 +42,10 @@
     observed: FxHashMap<HostId, ObservedMember>,
     /// How far each daemon says that it has followed the shared rows.
     seen: FxHashMap<HostId, SeenRow>,
+    /// Services that the daemons say they have lost, as read from the store.
+    reach: FxHashMap<HostId, ReachRow>,
+    /// Services that this daemon has lost; newer than its row.
+    own_lost: Vec<ServiceName>,
     last_contact: Now,
 }
 
@@ -51,8 +55,14 @@
 impl Members {
     /// Creates an empty view.
     pub fn new(own_host: HostId) -> Members {
-        let (observed, seen) = (FxHashMap::default(), FxHashMap::default());
-        Members { own_host, observed, seen, last_contact: Now::ZERO }
+        Members {
+            own_host,
+            observed: FxHashMap::default(),
+            seen: FxHashMap::default(),
+            reach: FxHashMap::default(),
+            own_lost: Vec::new(),
+            last_contact: Now::ZERO,
+        }
     }
 
     /// Returns the heartbeat interval of this daemon.
@@ -90,6 +100,73 @@
         self.seen.insert(host.to_owned(), row);
     }
 
+    /// Updates the services that a daemon says it has lost; `None` if its row was removed.
+    pub fn on_reach(&mut self, host: &str, row: Option<ReachRow>) {
+        match row {
+            Some(row) => drop(self.reach.insert(host.to_owned(), row)),
+            None => drop(self.reach.remove(host)),
+        }
+    }
+
+    /// Sets the services that this daemon has lost.
+    pub fn set_own_lost(&mut self, lost: Vec<ServiceName>) {
+        self.own_lost = lost;
+    }
+
+    /// Returns the row of this daemon's lost services, as read from the store.
+    pub fn own_reach_row(&self) -> Option<&ReachRow> {
+        self.reach.get(&self.own_host)
+    }
+
+    /// Returns the name of this daemon's host.
+    pub fn own_host(&self) -> &HostId {
+        &self.own_host
+    }
+
+    /// Returns whether a daemon says that it reaches no server of a service. A daemon without requests to
+    /// the service does not know.
+    pub fn has_lost(&self, host: &str, service: &str) -> bool {
+        self.lost(host).iter().any(|lost| lost == service)
+    }
+
+    fn lost(&self, host: &str) -> &[ServiceName] {
+        if host == self.own_host {
+            return &self.own_lost;
+        }
+        // A daemon that has started again since does not know of the loss.
+        let started = self.observed.get(host).map_or(0, |observed| observed.row.incarnation);
+        let row = self.reach.get(host).filter(|row| row.incarnation >= started);
+        row.map_or(&[], |row| &row.lost)
+    }
+
+    /// Returns whether a daemon has lost a service that another one has not. A service that is down for
+    /// all cuts off none.
+    pub fn is_cut_off(&self, now: Now, host: &str) -> bool {
+        self.lost(host).iter().any(|service| {
+            self.serving(now).any(|(other, _)| *other != host && !self.has_lost(other, service))
+        })
+    }
+
+    /// Returns the daemons that serve and are not cut off from servers, or all that serve if each is.
+    fn connected(&self, now: Now) -> Vec<(&HostId, &MemberRow)> {
+        let serving: Vec<_> = self.serving(now).collect();
+        if self.reach.is_empty() && self.own_lost.is_empty() {
+            return serving;
+        }
+        let mut lost_by: FxHashMap<&ServiceName, usize> = FxHashMap::default();
+        for (host, _) in &serving {
+            self.lost(host).iter().for_each(|service| *lost_by.entry(service).or_default() += 1);
+        }
+        let is_cut_off =
+            |host: &str| self.lost(host).iter().any(|service| lost_by[service] < serving.len());
+        let connected: Vec<_> =
+            serving.iter().filter(|(host, _)| !is_cut_off(host)).copied().collect();
+        if connected.is_empty() {
+            return serving;
+        }
+        connected
+    }
+
     /// Returns whether all daemons have applied the shared rows up to `version`, except those that have
     /// been silent for longer than `max_silence`.
     pub fn all_seen(&self, now: Now, version: RowVersion, max_silence: Duration) -> bool {
@@ -159,10 +236,10 @@
     }
 
     /// Returns the addresses of the entry daemons for callers at `location`: daemons of its region
-    /// first, as many as the total load requires. Fewer entry daemons open fewer connections to the
+    /// first, as many as the total load requires, without those that are cut off from servers. Fewer entry daemons open fewer connections to the
     /// same servers; if one is lost, any other entry daemon can replace it.
     pub fn entry_addresses(&self, now: Now, location: &Location, max_count: usize) -> Vec<String> {
-        let mut near: Vec<_> = self.serving(now).collect();
+        let mut near = self.connected(now);
         let rank = |host: &str| rendezvous_rank(ENTRY_RANK_KEY, host);
         near.sort_by_key(|(host, row)| {
             let is_other_region = location.distance(&row.zone) > 1;
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -129,7 +129,7 @@
     let mut addresses =
         node.members.borrow().entry_addresses(clock::now(), &location, MAX_DIRECTORY_ADDRESSES);
     let store_available = !node.store.is_unavailable();
-    if addresses.len() > 1 && (node.is_leaving() || !store_available) {
+    if addresses.len() > 1 && (node.is_leaving() || !store_available || node.is_cut_off()) {
         addresses.retain(|address| *address != own_address);
     }
     if addresses.is_empty() {
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -235,6 +235,8 @@
         if let Some(seen) = rows::decode::<SeenRow>(row) {
             origins::on_seen(node, host, seen);
         }
+    } else if let Some(host) = key.strip_prefix(rows::REACH_PREFIX) {
+        node.members.borrow_mut().on_reach(host, rows::decode(row));
     } else if key == rows::PLAN_KEY {
         if let Some(plan) = rows::decode(row) {
             let plan = buckthornfall_core::weights::Plan::from_row(plan);
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -110,6 +110,8 @@
     pub told_addresses: RefCell<FxHashMap<String, Vec<String>>>,
     /// Notified when this daemon becomes the owner of a job.
     pub job_taken: Notify,
+    /// Notified when all paths to the servers of a service are lost.
+    pub path_lost: Notify,
     pub actors: OnceCell<Actors>,
 }
 
@@ -144,6 +146,7 @@
             stop: Notify::new(),
             told_addresses: RefCell::default(),
             job_taken: Notify::new(),
+            path_lost: Notify::new(),
             actors: OnceCell::new(),
             settings: RefCell::new(Rc::new(settings)),
         })
@@ -164,6 +167,12 @@
         self.desired.borrow().get().cloned()
     }
 
+    /// Returns whether this daemon has lost a service that another daemon reaches.
+    pub fn is_cut_off(&self) -> bool {
+        let host = &self.settings.borrow().host;
+        self.members.borrow().is_cut_off(clock::now(), host)
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
         self.state.get() == MemberState::Leaving
--- a/crates/daemon/src/hosted/paths.rs
+++ b/crates/daemon/src/hosted/paths.rs
@@ -2,7 +2,11 @@
 
 use std::{rc::Rc, time::Duration};
 
-use buckthornfall_core::reachability::{PathChange, Probe};
+use buckthornfall_core::{
+    reachability::{PathChange, Probe},
+    store::{RowKey, StoreTx, TxEnd},
+};
+use buckthornfall_proto::messages::ReachRow;
 use log::info;
 use tokio::time::sleep;
 
@@ -10,6 +14,7 @@
     clock,
     http::{Connection, Error},
     node::Node,
+    rows,
 };
 
 /// Interval between checks for silent services and due probes.
@@ -17,8 +22,13 @@
 /// Timeout of opening a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Interval between checks whether the row of lost services is up to date, and between attempts to write
+/// it.
+const SHARE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Watches the paths and probes them as needed.
 pub async fn run(node: Rc<Node>) {
+    tokio::task::spawn_local(share(Rc::clone(&node)));
     loop {
         sleep(CHECK_INTERVAL).await;
         let (probes, changes) =
@@ -32,6 +42,42 @@
     }
 }
 
+/// Keeps the row that tells the other daemons which services this one has lost up to date.
+async fn share(node: Rc<Node>) {
+    loop {
+        tokio::select! {
+            () = sleep(SHARE_INTERVAL) => {}
+            () = node.path_lost.notified() => {}
+        }
+        let incarnation = node.incarnation.get();
+        let lost = node.reachability.borrow().lost();
+        let is_current = {
+            let members = node.members.borrow();
+            let told = members.own_reach_row();
+            told.map_or(lost.is_empty(), |told| {
+                told.incarnation == incarnation && told.lost == lost && !lost.is_empty()
+            })
+        };
+        if is_current || incarnation == 0 {
+            continue;
+        }
+        let host = node.settings().host.clone();
+        let key = RowKey::new(rows::FLEET, "", &format!("{}{host}", rows::REACH_PREFIX));
+        let row = ReachRow { incarnation, lost };
+        let tx = match row.lost.is_empty() {
+            true => StoreTx::remove(vec![key]),
+            false => StoreTx::put(vec![(key, rows::encode(&row))]),
+        };
+        let end = node.store.transact(&tx).await;
+        info!(lost:? = row.lost, outcome:? = end; "lost_services_shared");
+        if matches!(end, TxEnd::Committed(_)) {
+            // The row is read back from the feed; until then it must not be written again.
+            let row = (!row.lost.is_empty()).then_some(row);
+            node.members.borrow_mut().on_reach(&host, row);
+        }
+    }
+}
+
 /// Opens a connection to a server, which is kept for requests.
 async fn open_probe(node: Rc<Node>, probe: Probe) {
     let Probe { service, server } = probe;
@@ -76,6 +122,13 @@
     info!(service, state = change.name(), silence_ms; "service_paths");
     metrics::gauge!("service_paths_lost", "service" => service.to_owned())
         .set(if node.reachability.borrow().is_lost(service) { 1.0 } else { 0.0 });
+    if !change.is_shared() {
+        return;
+    }
+    node.members.borrow_mut().set_own_lost(node.reachability.borrow().lost());
+    if change == PathChange::Lost {
+        node.path_lost.notify_waiters();
+    }
 }
 
 fn silence(node: &Node, service: &str) -> Duration {
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -34,6 +34,8 @@
 pub const SOFTWARE_PREFIX: &str = "software/";
 /// Key prefix of how far daemons have followed this table.
 pub const SEEN_PREFIX: &str = "seen/";
+/// Key prefix of the services that daemons have lost.
+pub const REACH_PREFIX: &str = "reach/";
 /// Table of the software versions that began callers' streams, in `ORIGIN_PARTS` partitions.
 pub const ORIGINS: &str = "origins";
 /// Number of partitions of `ORIGINS`; the store runs the transactions of one partition one by one.
