Pass callers' requests on to a host that reaches the servers

Cause: a caller's request went to a server from the host that read it or nowhere. Leaving the directory helps only those who ask it again.

A daemon that has lost a service, or fails to connect to two of its servers for one request, now passes the request on as an HTTP/2 stream, to a daemon chosen by distance and load (core::peer_choice). One hop at most: who receives it sends it to a server or refuses it. The deadline is shortened by the way, the runs left of MaxAttempts go with it, and a daemon with an older desired state refuses. Origins, permits and suspects are judged by the daemon that sends to the server. A request that may have run is not passed on unless it may be repeated. Attempts that wait for a service that gets lost end at once if they may go elsewhere. A caller that leaves resets the stream, and the server's connection is closed. A response that ends early has trailers that say so, as a reset would discard events that had arrived. 32 requests in flight through one host and 64 taken over by it bound the load; more is refused at once as not run.

--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -347,6 +347,14 @@
         self.servers.values().map(|known| &known.entry)
     }
 
+    /// Ends the backoffs of the servers of a service, which say nothing once its paths were lost.
+    pub fn on_paths_regained(&mut self, service: &str) {
+        for known in self.servers.values_mut().filter(|known| known.entry.service == service) {
+            known.failures = 0;
+            known.backoff_until = Now::ZERO;
+        }
+    }
+
     /// Returns whether a server accepts new requests now.
     pub fn usable(&self, now: Now, id: &str) -> bool {
         self.servers.get(id).is_some_and(|known| {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod membership;
 pub mod order;
 pub mod origins;
+pub mod peer_choice;
 pub mod permits;
 pub mod pick;
 pub mod progress;
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -15,6 +15,7 @@
 mod origins;
 mod owners;
 mod paths;
+mod peer_forward;
 mod peers;
 mod permits;
 mod reload;
--- a/crates/daemon/src/hosted/body.rs
+++ b/crates/daemon/src/hosted/body.rs
@@ -18,7 +18,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::{sleep, Sleep};
 
-use super::{clock, http::Connection, node::Node, paths};
+use super::{clock, http::Connection, node::Node, paths, peer_forward::PeerBody};
 
 /// Counts a request of a caller as in flight until the response has been passed to its connection
 /// in full.
@@ -44,6 +44,8 @@
 /// Body of a response, with the guard that counts its request as in flight.
 pub struct ResponseBody {
     source: Source,
+    /// Error that ends the response once what was received before has been passed on.
+    failure: Option<RelayError>,
     /// Dropped with the body, which ends the count.
     _guard: Option<InFlightGuard>,
 }
@@ -54,17 +56,24 @@
     Full(Full<Bytes>),
     /// A body that a server is still sending.
     Relay(Box<Relay>),
+    /// A body that another daemon is still passing on.
+    Peer(PeerBody),
 }
 
 impl ResponseBody {
     /// Creates a complete body.
     pub fn full(body: Bytes) -> ResponseBody {
-        ResponseBody { source: Source::Full(Full::new(body)), _guard: None }
+        ResponseBody { source: Source::Full(Full::new(body)), failure: None, _guard: None }
     }
 
     /// Creates a body that a server is still sending.
     pub fn relay(relay: Relay) -> ResponseBody {
-        ResponseBody { source: Source::Relay(Box::new(relay)), _guard: None }
+        ResponseBody { source: Source::Relay(Box::new(relay)), failure: None, _guard: None }
+    }
+
+    /// Creates a body that another daemon is still passing on.
+    pub fn peer(body: PeerBody) -> ResponseBody {
+        ResponseBody { source: Source::Peer(body), failure: None, _guard: None }
     }
 
     /// Attaches the guard that counts the request as in flight until the body is sent.
@@ -96,8 +105,6 @@
     /// Aborts the response at the caller's deadline.
     deadline: Pin<Box<Sleep>>,
     tail: Tail,
-    /// Error that ends the response once what was received before has been passed on.
-    failure: Option<RelayError>,
 }
 
 /// Last bytes of an event stream. A server that crashes in the middle of an event may close its
@@ -134,6 +141,15 @@
     /// The connection to the server ended, and nothing else shows that the stream did.
     #[snafu(display("the stream has no end but that of its connection"))]
     UnconfirmedEnd,
+    /// The connection to the daemon that passes the response on failed.
+    #[snafu(display("the other daemon aborted the response: {source}"))]
+    Peer {
+        /// The cause.
+        source: h2::Error,
+    },
+    /// The daemon that passes the response on got no more of it.
+    #[snafu(display("the response ended early at the other daemon"))]
+    BrokenAtPeer,
     /// The stream did not end before the caller's deadline.
     #[snafu(display("the stream did not end before its deadline"))]
     DeadlineExceeded,
@@ -155,27 +171,38 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        match &mut self.get_mut().source {
-            Source::Full(body) => match ready!(Pin::new(body).poll_frame(cx)) {
-                Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
-                Some(Err(never)) => match never {},
-                None => Poll::Ready(None),
-            },
-            Source::Relay(relay) => relay.poll(cx),
+        let this = self.get_mut();
+        if let Some(failure) = this.failure.take() {
+            return Poll::Ready(Some(Err(failure)));
+        }
+        let next = match &mut this.source {
+            Source::Full(body) => ready!(Pin::new(body).poll_frame(cx))
+                .map(|frame| frame.map_err(|never| match never {})),
+            Source::Relay(relay) => ready!(relay.poll_frame(cx)),
+            Source::Peer(body) => ready!(body.poll_frame(cx)),
+        };
+        match next {
+            Some(Err(failure)) => {
+                // The connection writes what it has buffered before it polls again.
+                this.failure = Some(failure);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            next => Poll::Ready(next),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match &self.source {
             Source::Full(body) => body.is_end_stream(),
-            Source::Relay(_) => false,
+            Source::Relay(_) | Source::Peer(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.source {
             Source::Full(body) => body.size_hint(),
-            Source::Relay(_) => SizeHint::default(),
+            Source::Relay(_) | Source::Peer(_) => SizeHint::default(),
         }
     }
 }
@@ -192,32 +219,7 @@
         let deadline = Box::pin(sleep(until.saturating_sub(clock::now())));
         let StreamStart { start, body, is_delimited } = response;
         let (node, tail) = (Rc::clone(node), Tail::default());
-        Relay {
-            start,
-            body,
-            is_delimited,
-            conn: Some(conn),
-            node,
-            server,
-            deadline,
-            tail,
-            failure: None,
-        }
-    }
-
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        if let Some(failure) = self.failure.take() {
-            return Poll::Ready(Some(Err(failure)));
-        }
-        match ready!(self.poll_frame(cx)) {
-            Some(Err(failure)) => {
-                // The connection writes what it has buffered before it polls again.
-                self.failure = Some(failure);
-                cx.waker().wake_by_ref();
-                Poll::Pending
-            }
-            next => Poll::Ready(next),
-        }
+        Relay { start, body, is_delimited, conn: Some(conn), node, server, deadline, tail }
     }
 
     fn poll_frame(
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -18,7 +18,7 @@
 use super::{
     body::{full_response, InFlightGuard, ResponseBody},
     clock,
-    forward::{self, header_text},
+    forward::{self, header_text, Arrival},
     node::Node,
     responses, submissions,
 };
@@ -173,5 +173,5 @@
         let accept = submissions::accept(node, route, id, host, target, body);
         return full_response(submissions::with_timeout(timeout, accept).await);
     }
-    forward::forward(node, route, head, &body).await
+    forward::forward(node, route, head, body, Arrival::Caller).await
 }
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -1,6 +1,6 @@
 //! Proxying of callers' requests to backend servers, with retries.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use buckthornfall_core::{
     backends::{Backend, Ended, ServerQuery, SoftwareChoice},
@@ -22,6 +22,7 @@
     clock,
     http::{self as client, Connection, Error},
     node::Node,
+    peer_forward::{self, Forwarded},
     permits::{self, Permit, Verification, VerifyError},
     responses,
     streams::{self, Choice, Scope, Start},
@@ -36,6 +37,8 @@
 const SERVICE_TIME_FACTOR: u32 = 8;
 /// Number of refusals by servers after which the caller's request is refused.
 const MAX_REFUSALS: usize = 4;
+/// Number of servers that cannot be reached after which another daemon is asked.
+const MAX_PATH_FAILURES: u32 = 2;
 /// Timeout of a request that states no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Latency objective of a route that does not set one.
@@ -53,7 +56,7 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(10);
 
 /// Hop-by-hop headers and the content length, which are not forwarded.
-const HOP_BY_HOP_HEADERS: [HeaderName; 8] = [
+pub const HOP_BY_HOP_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
     header::TRANSFER_ENCODING,
     header::TE,
@@ -64,12 +67,35 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+/// How a request arrived at this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    /// From its caller.
+    Caller,
+    /// Passed on by another daemon, which has reserved a number of runs. It is not passed on again.
+    Peer {
+        /// Maximum number of servers that may run it.
+        max_runs: u32,
+    },
+}
+
+impl Arrival {
+    fn max_runs(self, route: &Route) -> u32 {
+        match self {
+            Arrival::Caller => route.max_attempts,
+            Arrival::Peer { max_runs } => route.max_attempts.min(max_runs),
+        }
+    }
+}
+
 /// Outcome of one attempt at a server.
 enum AttemptOutcome {
     /// The server's response, to be forwarded.
     Response(Response<ResponseBody>),
     /// The server did not run the request.
     NotRun(String),
+    /// The server could not be reached, so it did not run the request.
+    Unreachable(String),
     /// The server may have run the request and sent no usable response.
     Failed(Failure),
 }
@@ -100,11 +126,12 @@
     node: &Rc<Node>,
     route: &Route,
     head: &request::Parts,
-    body: &Bytes,
+    mut body: Bytes,
+    arrival: Arrival,
 ) -> Response<ResponseBody> {
     let id = header_text(&head.headers, &headers::ATTEMPT).to_owned();
     let deadline = request_deadline(route, &head.headers);
-    let scoped = match streams::scope(node, route, head, body).await {
+    let scoped = match streams::scope(node, route, head, &body).await {
         Ok(scoped) => scoped,
         Err(reason) => return full_response(responses::not_run(reason)),
     };
@@ -115,12 +142,14 @@
     let mut tries = 0;
     let mut permit_delay: Option<Duration> = None;
     let mut runs = 0;
+    let mut path_failures = 0;
+    let max_runs = arrival.max_runs(route);
     let mut last_response = None;
     let started = clock::now();
     let resume_until = started + RESUME_PATIENCE.min(deadline.saturating_sub(started) / 3);
     let path = head.uri.path().as_bytes();
     let request_fingerprint =
-        fingerprint(&[header_text(&head.headers, &header::HOST).as_bytes(), path, body]);
+        fingerprint(&[header_text(&head.headers, &header::HOST).as_bytes(), path, &body]);
     let response = loop {
         if !node.suspects.borrow().may_run(clock::now(), request_fingerprint) {
             info!(request = id.as_str(), fingerprint = request_fingerprint; "request_crashes_servers");
@@ -135,6 +164,25 @@
         if remaining.is_zero() {
             break give_up(runs, last_response, StatusCode::GATEWAY_TIMEOUT, "out of time");
         }
+        let is_lost = node.reachability.borrow().is_lost(&service);
+        let passes_on = is_lost || path_failures >= MAX_PATH_FAILURES;
+        if passes_on && arrival == Arrival::Caller && !scope.has_record() {
+            let forwarded = Forwarded {
+                route,
+                head,
+                service: &service,
+                deadline,
+                runs_left: max_runs - runs,
+                may_repeat: may_repeat(route),
+            };
+            if let Some(response) = peer_forward::send(node, forwarded, &mut body).await {
+                break response;
+            }
+        }
+        if is_lost {
+            let reason = "this host reaches no server of the service, and no other host does";
+            break give_up(runs, last_response, StatusCode::BAD_GATEWAY, reason);
+        }
         let choice = scope.choice(node);
         let query = ServerQuery {
             service: &service,
@@ -172,8 +220,9 @@
             }
         };
         tries += 1;
-        let is_last = runs + 1 >= route.max_attempts;
-        let req = CallerRequest { route, head, body, scope: &scope };
+        let is_last = runs + 1 >= max_runs;
+        let is_sent = Cell::new(false);
+        let req = CallerRequest { route, head, body: &body, scope: &scope, is_sent: &is_sent };
         let end = attempt(node, req, permit, deadline, is_last).await;
         let (outcome, next) = match end {
             AttemptOutcome::Response(response) => {
@@ -181,13 +230,17 @@
                 ("answered".to_owned(), Some(response))
             }
             AttemptOutcome::NotRun(reason) => (reason, None),
+            AttemptOutcome::Unreachable(reason) => {
+                path_failures += 1;
+                (reason, None)
+            }
             AttemptOutcome::Failed(failure) => {
                 if failure.crashed {
                     node.on_crash(request_fingerprint);
                 }
                 runs += 1;
                 last_response = failure.response.or(last_response);
-                let retries = may_repeat(route) && runs < route.max_attempts;
+                let retries = may_repeat(route) && runs < max_runs;
                 let next = (!retries).then(|| {
                     give_up(
                         runs,
@@ -274,6 +327,8 @@
     head: &'a request::Parts,
     body: &'a Bytes,
     scope: &'a Scope,
+    /// Whether any part of the request was sent to the server of this attempt.
+    is_sent: &'a Cell<bool>,
 }
 
 async fn attempt(
@@ -296,7 +351,17 @@
     };
     let started = clock::now();
     let guard = AttemptGuard::new(node, &server, deadline);
-    let end = timeout(attempt_timeout, exchange(node, req, permit, remaining)).await;
+    let end = tokio::select! {
+        end = timeout(attempt_timeout, exchange(node, req, permit, remaining)) => end,
+        () = useless(node, &server.service, req) => {
+            guard.end(Ended::Failed);
+            let reason = "the paths to the servers are lost";
+            return match req.is_sent.get() {
+                true => AttemptOutcome::failed(reason),
+                false => AttemptOutcome::Unreachable(reason.to_owned()),
+            };
+        }
+    };
     let now = clock::now();
     let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
     match end {
@@ -306,7 +371,7 @@
         }
         Ok(Err(ExchangeError::Http(e @ Error::Connect { .. }))) => {
             guard.end(Ended::Failed);
-            AttemptOutcome::NotRun(e.to_string())
+            AttemptOutcome::Unreachable(e.to_string())
         }
         Ok(Err(ExchangeError::NotSent(reason))) => {
             guard.end(Ended::Refused);
@@ -335,6 +400,17 @@
     }
 }
 
+/// Waits until an attempt has become useless: all paths to the servers are lost, and the request may be
+/// sent elsewhere.
+async fn useless(node: &Node, service: &str, req: CallerRequest<'_>) {
+    loop {
+        node.path_loss(service).await;
+        if !req.is_sent.get() || may_repeat(req.route) {
+            return;
+        }
+    }
+}
+
 /// Why an exchange with a server has no usable response.
 enum ExchangeError {
     /// The connection failed.
@@ -368,7 +444,7 @@
     permit: Permit,
     remaining: Duration,
 ) -> Result<(Response<Received>, Connection), ExchangeError> {
-    let CallerRequest { route, head, body, scope } = req;
+    let CallerRequest { route, head, body, scope, is_sent } = req;
     let (server, permitted_at) = (permit.server().clone(), permit.sent_at());
     let connect_timeout = CONNECT_TIMEOUT.min(remaining);
     let (mut conn, sent_at) = match scope {
@@ -393,6 +469,7 @@
     if scope.is_resumed() {
         message.headers_mut().entry(headers::PRIORITY).or_insert(RESUME_PRIORITY);
     }
+    is_sent.set(true);
     let response = conn.send(message).await?;
     node.on_response(&server.id, server.started_ms, sent_at, &response);
     let is_streaming = route.kind == RouteKind::Stream && response.status() == StatusCode::OK;
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -13,6 +13,7 @@
     job::JobId,
     members::Members,
     origins::Origins,
+    peer_choice::PeerChoice,
     reachability::Reachability,
     readiness::Readiness,
     store::{RowKey, RowVersion, StoreTx, TxEnd},
@@ -42,6 +43,7 @@
     store::Store,
     weights::WeightActor,
 };
+use crate::peers::Connections;
 
 /// A job row that this daemon has read or written.
 #[derive(Debug, Clone)]
@@ -112,6 +114,12 @@
     pub job_taken: Notify,
     /// Notified when all paths to the servers of a service are lost.
     pub path_lost: Notify,
+    /// Requests that this daemon passes on to others.
+    pub peer_choice: RefCell<PeerChoice>,
+    /// Connections for them.
+    pub forward_peers: Connections,
+    /// Number of requests in flight that others have passed on to this daemon.
+    pub passed_on: Cell<usize>,
     pub actors: OnceCell<Actors>,
 }
 
@@ -147,6 +155,9 @@
             told_addresses: RefCell::default(),
             job_taken: Notify::new(),
             path_lost: Notify::new(),
+            peer_choice: RefCell::default(),
+            forward_peers: Connections::for_requests(),
+            passed_on: Cell::new(0),
             actors: OnceCell::new(),
             settings: RefCell::new(Rc::new(settings)),
         })
@@ -173,6 +184,16 @@
         self.members.borrow().is_cut_off(clock::now(), host)
     }
 
+    /// Waits until all paths to the servers of a service are lost.
+    pub async fn path_loss(&self, service: &str) {
+        loop {
+            self.path_lost.notified().await;
+            if self.reachability.borrow().is_lost(service) {
+                return;
+            }
+        }
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
         self.state.get() == MemberState::Leaving
--- a/crates/daemon/src/hosted/paths.rs
+++ b/crates/daemon/src/hosted/paths.rs
@@ -128,6 +128,8 @@
     node.members.borrow_mut().set_own_lost(node.reachability.borrow().lost());
     if change == PathChange::Lost {
         node.path_lost.notify_waiters();
+    } else {
+        node.backends.borrow_mut().on_paths_regained(service);
     }
 }
 
--- a/crates/daemon/src/hosted/peers.rs
+++ b/crates/daemon/src/hosted/peers.rs
@@ -1,11 +1,14 @@
-//! Handles the messages of other daemons: relays store calls whose sender the store refuses, and
-//! issues permits.
+//! Handles the messages of other daemons: relays store calls whose sender the store refuses, issues
+//! permits, and serves requests that they pass on.
 
 use std::{io, rc::Rc};
 
 use buckthornfall_proto::messages::PeerMessage;
+use bytes::Bytes;
+use h2::{server::SendResponse, RecvStream};
+use http::Request;
 
-use super::{node::Node, permits, server};
+use super::{node::Node, peer_forward, permits, server};
 use crate::peers::{self, MessageHandler};
 
 #[derive(Clone)]
@@ -26,6 +29,10 @@
             _ => None,
         }
     }
+
+    async fn serve_request(&self, request: Request<RecvStream>, respond: SendResponse<Bytes>) {
+        peer_forward::serve(Rc::clone(&self.0), request, respond).await;
+    }
 }
 
 /// Accepts connections of other daemons.
--- a/crates/daemon/src/hosted/streams.rs
+++ b/crates/daemon/src/hosted/streams.rs
@@ -145,6 +145,11 @@
         matches!(self, Scope::Resumed(_))
     }
 
+    /// Returns whether the stream may have a record in the store; it begins at no other version.
+    pub fn has_record(&self) -> bool {
+        matches!(self, Scope::New(stream) if stream.recorded.borrow().is_some())
+    }
+
     /// Returns the servers among which the next one is chosen; `None` if there are none now.
     pub fn choice(&self, node: &Node) -> Option<Choice> {
         match self {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -11,8 +11,12 @@
     messages::PeerMessage,
 };
 use bytes::Bytes;
-use h2::{client::SendRequest, server::SendResponse, RecvStream};
-use http::{Request, Response, StatusCode};
+use h2::{
+    client::{ResponseFuture, SendRequest},
+    server::SendResponse,
+    RecvStream,
+};
+use http::{HeaderName, Request, Response, StatusCode};
 use log::{debug, warn};
 use snafu::{ResultExt, Snafu};
 use stakker::sync::Channel;
@@ -107,11 +111,32 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Initial flow control window of an HTTP/2 stream.
 const WINDOW_BYTES: u32 = 1024 * 1024;
+/// Flow control window of a connection that carries messages.
+const CONNECTION_WINDOW_BYTES: u32 = 65_535;
+/// Initial flow control window of a request that is passed on.
+const REQUEST_WINDOW_BYTES: u32 = 64 * 1024;
+
+/// Header of a caller's request that a daemon passes on, with the name of its host; absent from
+/// messages.
+pub const HOP: HeaderName = HeaderName::from_static("buckthornfall-hop");
 
 /// Handler of messages from other daemons.
 pub trait MessageHandler: Clone + 'static {
     /// Handles a message and returns the answer, or `None` to send none.
     fn handle(&self, message: PeerMessage) -> impl Future<Output = Option<PeerMessage>>;
+
+    /// Serves a request that does not carry a message: one of a caller that another daemon passes on.
+    fn serve_request(
+        &self,
+        _request: Request<RecvStream>,
+        mut respond: SendResponse<Bytes>,
+    ) -> impl Future<Output = ()> {
+        async move {
+            if let Err(e) = respond_with(&mut respond, StatusCode::NOT_IMPLEMENTED, None) {
+                debug!(error:% = e; "peer_request_not_answered");
+            }
+        }
+    }
 }
 
 impl MessageHandler for Channel<PeerEvent> {
@@ -218,12 +243,28 @@
 }
 
 /// Open connections to other daemons, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Connections {
     open: Mutex<HashMap<String, SendRequest<Bytes>>>,
+    /// Flow control window of a stream and of the whole connection.
+    windows: (u32, u32),
+}
+
+impl Default for Connections {
+    fn default() -> Connections {
+        Connections { open: Mutex::default(), windows: (WINDOW_BYTES, CONNECTION_WINDOW_BYTES) }
+    }
 }
 
 impl Connections {
+    /// Creates connections for requests that are passed on. The window of a connection has room for those of
+    /// its streams, so that one slow caller does not block the others.
+    pub fn for_requests() -> Connections {
+        let stream_window = REQUEST_WINDOW_BYTES;
+        let windows = (stream_window, stream_window * MAX_EXCHANGES as u32);
+        Connections { windows, ..Connections::default() }
+    }
+
     /// Sends a message and returns the answer. After an error, the caller must `forget` the
     /// connection.
     pub async fn exchange(&self, address: &str, message: &PeerMessage) -> Result<PeerMessage> {
@@ -252,7 +293,8 @@
         let socket = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
         socket.set_nodelay(true).context(ConnectSnafu { address })?;
         let (sender, connection) = h2::client::Builder::new()
-            .initial_window_size(WINDOW_BYTES)
+            .initial_window_size(self.windows.0)
+            .initial_connection_window_size(self.windows.1)
             .handshake(socket)
             .await
             .context(Http2Snafu { address })?;
@@ -265,6 +307,25 @@
         Ok(sender)
     }
 
+    /// Sends a request with `HOP` and returns the response, whose body is yet to be received. An error
+    /// of this call means that nothing was sent.
+    pub async fn request(
+        &self,
+        address: &str,
+        request: Request<()>,
+        body: Bytes,
+    ) -> Result<ResponseFuture> {
+        let sender = self.connection(address).await?;
+        let mut sender = sender.ready().await.context(Http2Snafu { address })?;
+        let is_empty = body.is_empty();
+        let (response, mut stream) =
+            sender.send_request(request, is_empty).context(Http2Snafu { address })?;
+        if !is_empty {
+            stream.send_data(body, true).context(Http2Snafu { address })?;
+        }
+        Ok(response)
+    }
+
     /// Removes the connection to a daemon; it closes once its exchanges are complete.
     pub async fn forget(&self, address: &str) {
         self.open.lock().await.remove(address);
@@ -290,6 +351,10 @@
     while let Some(Ok((request, respond))) = connection.accept().await {
         let handler = handler.clone();
         spawn_local(async move {
+            if request.headers().contains_key(HOP) {
+                handler.serve_request(request, respond).await;
+                return;
+            }
             if let Err(e) = serve_exchange(request.into_body(), respond, &handler).await {
                 warn!(error:% = e; "peer_message_refused");
             }
