Move jobs and the weight controller from hosts that are cut off from servers

What trainers saw: steps 6.8 to 11.1 s behind when the owner of their jobs was cut off for 16 s, and new jobs given to owners that were cut off. Cause: duties stay with their owner while it has the store. Jobs now go, with their text saved, to an owner that is not cut off, under the version of the job's row as at a planned stop; the lease of the weight controller is given up, with a higher fence for the next holder. Only who is cut off moves duties, and nothing moves back at the heal, so a flicker moves each at most once.

job_of_a_host_that_is_cut_off_is_finished_by_another failed before (no result in 10 s).

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -91,6 +91,8 @@
     pending_since: Option<Now>,
     next_action_at: Now,
     attempt_count: u64,
+    /// Whether this holder wanted the lease at the last tick.
+    wanted: bool,
     released: bool,
 }
 
@@ -109,6 +111,7 @@
             pending_since: None,
             next_action_at: Now::ZERO,
             attempt_count: 0,
+            wanted: false,
             released: false,
         }
     }
@@ -142,6 +145,7 @@
     /// Renews a held lease, or reads the row to acquire it if `wanted`, once the interval has
     /// passed.
     pub fn tick(&mut self, now: Now, wanted: bool, out: &mut Vec<LeaseAction>) {
+        self.wanted = wanted;
         if self
             .pending_since
             .is_some_and(|started| now.saturating_sub(started) > self.times.timeout)
@@ -164,6 +168,12 @@
     /// term.
     pub fn release(&mut self, now: Now, out: &mut Vec<LeaseAction>) {
         self.released = true;
+        self.give_up(now, out);
+    }
+
+    /// Gives up a held lease, so that the next holder does not wait for a full term. It may be acquired
+    /// again once it is wanted.
+    pub fn give_up(&mut self, now: Now, out: &mut Vec<LeaseAction>) {
         let Some(held) = self.held.take() else { return };
         let row = LeaseRow { holder: String::new(), ..held.row };
         self.write_row(now, held.version, row, out);
@@ -244,7 +254,8 @@
         let is_free = row.as_ref().is_none_or(|row| row.holder.is_empty());
         let fence = row.as_ref().map_or(0, |row| row.fence);
         self.observed = Some(ObservedRow { version, row, unchanged_since });
-        if is_free || now.saturating_sub(unchanged_since) >= self.times.term {
+        let is_due = is_free || now.saturating_sub(unchanged_since) >= self.times.term;
+        if is_due && self.wanted {
             self.acquire(now, version, fence + 1, out);
         }
     }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -205,21 +205,28 @@
     }
 
     /// Returns the daemon that should run the job `key`: one of those with the lowest latency to
-    /// the store, where all results are written.
+    /// the store, where all results are written, that are not cut off from servers.
     pub fn owner(&self, now: Now, key: &str) -> Option<&HostId> {
         let key = fingerprint(&[key.as_bytes()]);
-        let lowest_store_ms = self.serving(now).map(|(_, row)| row.store_ms).min()?;
-        let near = self.serving(now).filter(|(_, row)| {
+        let connected = self.connected(now);
+        let lowest_store_ms = connected.iter().map(|(_, row)| row.store_ms).min()?;
+        let near = connected.into_iter().filter(|(_, row)| {
             row.store_ms <= lowest_store_ms.saturating_add(STORE_LATENCY_TOLERANCE_MS)
         });
         near.map(|(host, _)| host).max_by_key(|host| rendezvous_rank(key, host))
     }
 
-    /// Returns whether this daemon ranks among the first `count` for `key`.
+    /// Returns whether this daemon ranks among the first `count` for `key` of those that are not cut off
+    /// from servers.
     pub fn ranks_within(&self, now: Now, key: &str, count: usize) -> bool {
         let key = fingerprint(&[key.as_bytes()]);
         let own_rank = rendezvous_rank(key, &self.own_host);
-        let others = self.serving(now).filter(|(host, _)| **host != self.own_host);
+        let connected = self.connected(now);
+        let is_own = |(host, _): &(&HostId, &MemberRow)| **host == self.own_host;
+        if !connected.iter().any(is_own) && self.is_cut_off(now, &self.own_host) {
+            return false;
+        }
+        let others = connected.iter().filter(|other| !is_own(other));
         others.filter(|(host, _)| rendezvous_rank(key, host) > own_rank).count() < count
     }
 
--- a/crates/daemon/src/hosted/owners.rs
+++ b/crates/daemon/src/hosted/owners.rs
@@ -1,4 +1,5 @@
-//! Ownership of jobs: takeover of orphaned jobs, and handover during a planned stop. Also closes
+//! Ownership of jobs: takeover of orphaned jobs, and handover during a planned stop and by a daemon
+//! that has lost the servers. Also closes
 //! idle connections to backend servers and forgets expired server entries.
 
 use std::{rc::Rc, time::Duration};
@@ -6,7 +7,7 @@
 use buckthornfall_core::store::{RowVersion, StoreTx, TxEnd};
 use buckthornfall_proto::messages::{JobRow, JobState, MemberState};
 use log::info;
-use tokio::time::sleep;
+use tokio::{sync::oneshot, time::sleep};
 
 use super::{
     clock,
@@ -17,8 +18,8 @@
 /// Interval between checks for orphaned jobs, idle connections and expired server entries.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Takes over jobs whose owner stopped writing heartbeats, closes idle connections and forgets
-/// expired server entries.
+/// Takes over jobs whose owner stopped writing heartbeats, hands jobs over that this daemon cannot run,
+/// closes idle connections and forgets expired server entries.
 pub async fn watch(node: Rc<Node>) {
     loop {
         sleep(CHECK_INTERVAL).await;
@@ -30,6 +31,9 @@
         }
         node.servers.sweep();
         node.backends.borrow_mut().expire(node.store.steady_since(), clock::now());
+        if node.is_cut_off() {
+            leave_jobs(&node).await;
+        }
         for (id, row, version) in orphans(&node) {
             let owner = node.settings().host.clone();
             change_owner(&node, &id, row, version, owner).await;
@@ -70,6 +74,22 @@
     }
 }
 
+/// Hands all jobs of this daemon over to others that reach the servers. What was generated is saved
+/// first.
+async fn leave_jobs(node: &Rc<Node>) {
+    for (id, KnownJob { row, version }) in node.owned_jobs() {
+        let next = node.members.borrow().owner(clock::now(), &row.model).cloned();
+        let Some(next) = next.filter(|next| *next != node.settings().host) else { continue };
+        let (tx, rx) = oneshot::channel();
+        let job = id.clone();
+        node.with_runner(move |runner, cx| drop(tx.send(runner.unsaved(cx, &job))));
+        if let Ok(Some(save)) = rx.await {
+            node.store.transact(&save).await;
+        }
+        change_owner(node, &id, row, version, next).await;
+    }
+}
+
 /// Hands all jobs of this daemon over to others during a planned stop.
 pub async fn hand_over(node: &Rc<Node>) {
     for (id, KnownJob { row, version }) in node.owned_jobs() {
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -110,6 +110,12 @@
         saves
     }
 
+    /// Returns the transaction that saves the progress of a job; `None` if all of it is saved.
+    pub fn unsaved(&mut self, _: CX![], id: &str) -> Option<StoreTx> {
+        let writes = self.jobs.unsaved(id);
+        (!writes.is_empty()).then(|| self.save_tx(id, &writes))
+    }
+
     /// Opens a job that was read from the store, unless it is open already, has another owner by
     /// now or this daemon is stopping.
     pub fn open(&mut self, _: CX![], id: &str, loaded: LoadedJob) {
--- a/crates/daemon/src/hosted/weights.rs
+++ b/crates/daemon/src/hosted/weights.rs
@@ -105,6 +105,9 @@
         let wants_lease =
             serving && node.members.borrow().ranks_within(now, LEASE_NAME, LEASE_CANDIDATES);
         let mut out = Vec::new();
+        if !wants_lease && node.is_cut_off() {
+            self.lease.give_up(now, &mut out);
+        }
         self.lease.tick(now, wants_lease, &mut out);
         self.run_lease_actions(out);
         self.advance();
