Refuse requests that cannot end before a planned stop does

What callers saw: requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them those that may run once. Of requests that a server takes 1.8 s for, sent each 100 ms from the signal on with a grace of 6 s, all from 3.0 s on were cut; long polls and requests whose body was still arriving, too. Cause: what was read was served, whatever was left of the grace.

Long polls end before the exit, deadlines handed on are capped by it, and every response of a daemon that leaves closes its connection. Not changed: requests in flight at the signal have the whole grace as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod retention;
 pub mod rollout;
 pub mod step;
+pub mod stop;
 pub mod store;
 pub mod suspects;
 pub mod table;
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -192,16 +192,17 @@
 async fn stop(node: &Rc<Node>) {
     let started = clock::now();
     node.state.set(MemberState::Leaving);
+    let exit_at = started + node.settings().grace.saturating_sub(EXIT_MARGIN);
+    node.exit_at.set(Some(exit_at));
     info!(inflight = node.in_flight.get(); "stopping");
     node.stop.notify_waiters();
     node.with_weight_controller(|controller, cx| controller.release(cx));
     hand_over_jobs(node).await;
-    let grace = node.settings().grace;
     loop {
         sleep(STOP_CHECK_INTERVAL).await;
         let elapsed = clock::now().saturating_sub(started);
         let is_drained = node.in_flight.get() == 0;
-        if (elapsed >= MIN_STOP_DURATION && is_drained) || elapsed + EXIT_MARGIN >= grace {
+        if (elapsed >= MIN_STOP_DURATION && is_drained) || clock::now() >= exit_at {
             break;
         }
     }
--- a/crates/daemon/src/hosted/body.rs
+++ b/crates/daemon/src/hosted/body.rs
@@ -41,6 +41,28 @@
     }
 }
 
+/// Records how long a request took once its response has been passed to its connection in full.
+pub struct DurationGuard {
+    node: Rc<Node>,
+    route: String,
+    started: Now,
+}
+
+impl DurationGuard {
+    /// Measures a request of a route from now on.
+    pub fn new(node: &Rc<Node>, route: &str) -> DurationGuard {
+        DurationGuard { node: Rc::clone(node), route: route.to_owned(), started: clock::now() }
+    }
+}
+
+impl Drop for DurationGuard {
+    fn drop(&mut self) {
+        let now = clock::now();
+        let took = now.saturating_sub(self.started);
+        self.node.durations.borrow_mut().record(now, &self.route, took);
+    }
+}
+
 /// Body of a response, with the guard that counts its request as in flight.
 pub struct ResponseBody {
     source: Source,
@@ -48,6 +70,8 @@
     failure: Option<RelayError>,
     /// Dropped with the body, which ends the count.
     _guard: Option<InFlightGuard>,
+    /// Dropped with the body, which ends the measurement.
+    _duration: Option<DurationGuard>,
 }
 
 /// Source of a response body.
@@ -63,17 +87,26 @@
 impl ResponseBody {
     /// Creates a complete body.
     pub fn full(body: Bytes) -> ResponseBody {
-        ResponseBody { source: Source::Full(Full::new(body)), failure: None, _guard: None }
+        ResponseBody::new(Source::Full(Full::new(body)))
     }
 
     /// Creates a body that a server is still sending.
     pub fn relay(relay: Relay) -> ResponseBody {
-        ResponseBody { source: Source::Relay(Box::new(relay)), failure: None, _guard: None }
+        ResponseBody::new(Source::Relay(Box::new(relay)))
     }
 
     /// Creates a body that another daemon is still passing on.
     pub fn peer(body: PeerBody) -> ResponseBody {
-        ResponseBody { source: Source::Peer(body), failure: None, _guard: None }
+        ResponseBody::new(Source::Peer(body))
+    }
+
+    fn new(source: Source) -> ResponseBody {
+        ResponseBody { source, failure: None, _guard: None, _duration: None }
+    }
+
+    /// Attaches the guard that measures the request until the body is sent.
+    pub fn with_duration(self, guard: DurationGuard) -> ResponseBody {
+        ResponseBody { _duration: Some(guard), ..self }
     }
 
     /// Attaches the guard that counts the request as in flight until the body is sent.
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -2,7 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use buckthornfall_core::desired::RouteKind;
+use buckthornfall_core::{
+    desired::{Route, RouteKind},
+    stop::{LateRequest, RESPONSE_TIME},
+};
 use buckthornfall_platform::{
     headers,
     interface::{self, ApiRequest},
@@ -16,7 +19,7 @@
 use tokio::time::timeout;
 
 use super::{
-    body::{full_response, InFlightGuard, ResponseBody},
+    body::{full_response, DurationGuard, InFlightGuard, ResponseBody},
     clock,
     forward::{self, header_text, Arrival},
     node::Node,
@@ -27,13 +30,20 @@
 const DIRECTORY_TTL: Duration = Duration::from_secs(2);
 /// Maximum number of addresses in a response of the directory.
 const MAX_DIRECTORY_ADDRESSES: usize = 64;
+/// Time before the exit from which requests to the interface are refused.
+const MIN_API_TIME: Duration = Duration::from_millis(300);
 /// Timeout of a request to the job interface that states no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Handles a request on any of the request listeners.
 pub async fn handle(node: Rc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
     let guard = InFlightGuard::new(&node);
-    respond(node, req).await.map(|body| body.with_guard(guard))
+    let response = respond(Rc::clone(&node), req).await.map(|body| body.with_guard(guard));
+    // Callers who reuse a connection of a daemon that leaves would be cut off.
+    match node.is_leaving() {
+        true => close_connection(response),
+        false => response,
+    }
 }
 
 async fn respond(node: Rc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
@@ -67,8 +77,8 @@
     }
 }
 
-/// Closes the connection after the response, as the request was not read to its end.
-fn close_connection(mut response: Response<Bytes>) -> Response<Bytes> {
+/// Closes the connection after the response.
+fn close_connection<B>(mut response: Response<B>) -> Response<B> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
@@ -94,12 +104,17 @@
     api_request: ApiRequest,
     req: &Request<Incoming>,
 ) -> Response<Bytes> {
-    let timeout = request_timeout(req.headers());
+    let left = node.time_to_exit().map(|left| left.saturating_sub(RESPONSE_TIME));
+    if left.is_some_and(|left| left < MIN_API_TIME) && api_request != ApiRequest::Ready {
+        return responses::not_run("this daemon exits now");
+    }
+    let left = left.unwrap_or(Duration::MAX);
+    let timeout = request_timeout(req.headers()).min(left);
     match api_request {
         ApiRequest::Ready => ready(node),
         ApiRequest::Entries { zone } => entries(node, &zone),
         ApiRequest::Results { job, after, wait_ms } => {
-            let wait = Duration::from_millis(wait_ms);
+            let wait = Duration::from_millis(wait_ms).min(left.saturating_sub(MIN_API_TIME));
             submissions::with_timeout(timeout, submissions::results(node, &job, after, wait)).await
         }
         ApiRequest::SampleBody { job, sample } => {
@@ -167,11 +182,33 @@
             "no route takes this host and path",
         ));
     };
+    if let Some(left) = node.time_to_exit() {
+        let late = late_request(node, route, head);
+        if !late.can_end(left) {
+            info!(request = id, route = route.name.as_str(), left_ms = left.as_millis() as u64,
+                longest_ms:? = late.longest.map(|longest| longest.as_millis() as u64); "refused_before_exit");
+            return full_response(responses::not_run(
+                "this daemon exits before the request can end",
+            ));
+        }
+    }
+    let duration = DurationGuard::new(node, &route.name);
     if route.kind == RouteKind::Job {
         let target = head.uri.path_and_query().map_or(path, |target| target.as_str());
         let timeout = route.timeout.unwrap_or(DEFAULT_TIMEOUT).min(request_timeout(&head.headers));
         let accept = submissions::accept(node, route, id, host, target, body);
-        return full_response(submissions::with_timeout(timeout, accept).await);
+        let response = full_response(submissions::with_timeout(timeout, accept).await);
+        return response.map(|body| body.with_duration(duration));
+    }
+    let response = forward::forward(node, route, head, body, Arrival::Caller).await;
+    response.map(|body| body.with_duration(duration))
+}
+
+fn late_request(node: &Node, route: &Route, head: &request::Parts) -> LateRequest {
+    let stated = request_timeout(&head.headers);
+    LateRequest {
+        deadline: route.timeout.map_or(stated, |timeout| timeout.min(stated)),
+        may_repeat: route.kind == RouteKind::Job || forward::may_repeat(route),
+        longest: node.durations.borrow().longest(clock::now(), &route.name),
     }
-    forward::forward(node, route, head, body, Arrival::Caller).await
 }
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -130,7 +130,7 @@
     arrival: Arrival,
 ) -> Response<ResponseBody> {
     let id = header_text(&head.headers, &headers::ATTEMPT).to_owned();
-    let deadline = request_deadline(route, &head.headers);
+    let deadline = request_deadline(node, route, &head.headers);
     let scoped = match streams::scope(node, route, head, &body).await {
         Ok(scoped) => scoped,
         Err(reason) => return full_response(responses::not_run(reason)),
@@ -272,7 +272,7 @@
 
 /// Returns whether more than one server may run a request. A stream that may be resumed has passed on
 /// no event when an attempt fails.
-fn may_repeat(route: &Route) -> bool {
+pub fn may_repeat(route: &Route) -> bool {
     match route.kind {
         RouteKind::Idempotent => true,
         RouteKind::Stream => route.resumable,
@@ -312,11 +312,13 @@
     route.objective.unwrap_or(DEFAULT_OBJECTIVE).min(remaining) / 2
 }
 
-fn request_deadline(route: &Route, header_map: &HeaderMap) -> Now {
+/// Returns when the response is due: also before the exit of a daemon that leaves.
+fn request_deadline(node: &Node, route: &Route, header_map: &HeaderMap) -> Now {
     let stated =
         header_text(header_map, &headers::DEADLINE).parse().ok().map(Duration::from_millis);
     let wait = stated.unwrap_or(DEFAULT_TIMEOUT);
     let wait = route.timeout.map_or(wait, |timeout| wait.min(timeout));
+    let wait = node.time_to_exit().map_or(wait, |left| wait.min(left));
     clock::now() + wait.saturating_sub(RESPONSE_MARGIN)
 }
 
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -16,6 +16,7 @@
     peer_choice::PeerChoice,
     reachability::Reachability,
     readiness::Readiness,
+    stop::Durations,
     store::{RowKey, RowVersion, StoreTx, TxEnd},
     suspects::Suspects,
     weights::Plan,
@@ -101,6 +102,10 @@
     /// Weight plan last read from the store or made by this daemon.
     pub plan: RefCell<Plan>,
     pub state: Cell<MemberState>,
+    /// When the daemon exits at the latest, once a planned stop has begun.
+    pub exit_at: Cell<Option<Now>>,
+    /// How long the requests of callers took.
+    pub durations: RefCell<Durations>,
     /// Number of requests of callers whose responses are not fully sent.
     pub in_flight: Cell<usize>,
     /// Number of requests of callers received since the last heartbeat.
@@ -148,6 +153,8 @@
             loading: RefCell::default(),
             plan: RefCell::default(),
             state: Cell::new(MemberState::Starting),
+            exit_at: Cell::new(None),
+            durations: RefCell::default(),
             in_flight: Cell::new(0),
             requests: Cell::new(0),
             readiness: RefCell::default(),
@@ -199,6 +206,12 @@
         self.state.get() == MemberState::Leaving
     }
 
+    /// Returns the time until the daemon exits; `None` if no planned stop has begun.
+    pub fn time_to_exit(&self) -> Option<Duration> {
+        let exit_at = self.exit_at.get()?;
+        Some(exit_at.saturating_sub(clock::now()))
+    }
+
     /// Starts to serve once all tables are read and a desired state is known. Returns whether this
     /// call started it.
     pub fn serve_if_ready(&self) -> bool {
