Stop using a server whose entry has become unreadable

What callers would see: requests to a server that another writer's bytes had replaced in the list, for as long as the daemon ran; a daemon that started later did not know the server at all. Cause: an unreadable entry was logged and the last readable state kept. Such an entry names no server, so it now counts as missing: gone at once, or after the grace of missing entries around a failure of the store. The server is back with its next heartbeat, which rewrites the entry.

--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -186,7 +186,9 @@
             }
         }
         Err(e) => {
+            // It names no server, as if it were missing.
             warn!(server = id.as_str(), row_version = row.version, error:% = e; "server_entry_unreadable");
+            backends.remove(now, id, is_steady(node));
         }
     }
 }
