Take a host whose new connections are refused for cut off

Cause: an answer on a kept connection ended the suspicion, so the host never counted as cut off.

What counts now is whether connections can be opened: only a probe ends a suspicion that failed connections raised. Requests go to kept connections only if no other host can take them, and are refused at once when those are silent, too. A suspicion that proves wrong pauses the next for a second, as one server is gone.

--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -2,7 +2,8 @@
 //!
 //! A failed connection, or requests that all wait without any response, make a service suspect.
 //! Connections to servers in different zones, opened as probes, then confirm that its paths are lost
-//! or end the suspicion. Whether the service itself is down is not decided here, but by comparison
+//! or end the suspicion. What counts is whether connections can be opened: a daemon whose kept ones live
+//! on while new ones are refused can serve little with them. Whether the service itself is down is not decided here, but by comparison
 //! with the other daemons: see [`Members::is_cut_off`](crate::members::Members::is_cut_off).
 
 use std::time::Duration;
@@ -23,8 +24,8 @@
 const PROBED_SERVERS: usize = 3;
 /// Interval between probes of a lost service.
 const LOST_PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after a response for which failed connections do not count: kept connections work.
-const HEARD_TTL: Duration = Duration::from_secs(1);
+/// Time after a wrong suspicion for which failed connections raise no other: a server is gone.
+const SUSPICION_PAUSE: Duration = Duration::from_secs(1);
 
 /// A connection to open, to learn whether there is a path.
 #[derive(Debug, Clone, PartialEq)]
@@ -42,7 +43,7 @@
     Suspected,
     /// The suspicion was wrong.
     Cleared,
-    /// No server can be reached.
+    /// No connection to a server can be opened.
     Lost,
     /// Servers can be reached again.
     Regained,
@@ -87,6 +88,8 @@
     /// Servers to which a probe is being opened.
     probing: Vec<ServerId>,
     next_probe_at: Now,
+    /// When a suspicion last proved wrong.
+    cleared_at: Option<Now>,
     /// Number of probes, which selects the next server while the service is lost.
     probes: usize,
 }
@@ -101,6 +104,7 @@
             failed: Vec::new(),
             probing: Vec::new(),
             next_probe_at: Now::ZERO,
+            cleared_at: None,
             probes: 0,
         }
     }
@@ -118,7 +122,10 @@
         let paths = self.paths(service);
         paths.max_silence = MAX_SILENCE;
         paths.heard_at = Some(now);
-        paths.on_reached()
+        paths.waiting_since = None;
+        // Failed connections count although kept ones work.
+        let is_silence_over = paths.state == PathState::Suspected && paths.failed.is_empty();
+        is_silence_over.then(|| paths.on_reached(now)).flatten()
     }
 
     /// Records that no connection to a server could be established.
@@ -129,9 +136,9 @@
         server: &str,
     ) -> Option<PathChange> {
         let paths = self.paths(service);
-        let is_heard = paths.heard_at.is_some_and(|at| now.saturating_sub(at) < HEARD_TTL);
+        let is_paused = paths.cleared_at.is_some_and(|at| now.saturating_sub(at) < SUSPICION_PAUSE);
         match paths.state {
-            PathState::Reached if is_heard => None,
+            PathState::Reached if is_paused => None,
             PathState::Reached => {
                 paths.suspect();
                 paths.failed.push(server.to_owned());
@@ -160,10 +167,10 @@
         if !connected {
             return self.on_connect_failed(now, service, server);
         }
-        if paths.state == PathState::Suspected {
+        if paths.state == PathState::Suspected && paths.failed.is_empty() {
             paths.max_silence = (paths.max_silence * 2).min(MAX_SILENCE_SLOW);
         }
-        paths.on_reached()
+        paths.on_reached(now)
     }
 
     /// Returns the probes to open now and the services whose state changed.
@@ -181,6 +188,13 @@
             }
         }
         let (mut probes, mut changes) = (Vec::new(), Vec::new());
+        self.services.retain(|service, paths| {
+            let is_listed = servers.contains_key(service.as_str());
+            if !is_listed && paths.state == PathState::Lost {
+                changes.push((service.clone(), PathChange::Regained));
+            }
+            is_listed
+        });
         for (service, listed) in servers {
             let paths = self.paths(service);
             let is_waiting = waiting.get(service).is_some_and(|count| *count > 0);
@@ -193,12 +207,20 @@
         (probes, changes)
     }
 
-    /// Returns whether no server of a service can be reached.
+    /// Returns whether no connection to a server of a service can be opened.
     pub fn is_lost(&self, service: &str) -> bool {
         self.services.get(service).is_some_and(|paths| paths.state == PathState::Lost)
     }
 
-    /// Returns the services of which no server can be reached, in order of their names.
+    /// Returns whether kept connections do not work either: a lost service has been silent.
+    pub fn is_silent(&self, now: Now, service: &str) -> bool {
+        self.services.get(service).is_some_and(|paths| {
+            let is_heard = paths.heard_at.is_some_and(|at| now.saturating_sub(at) < MAX_SILENCE);
+            paths.state == PathState::Lost && !is_heard
+        })
+    }
+
+    /// Returns the services to whose servers no connection can be opened, in order of their names.
     pub fn lost(&self) -> Vec<ServiceName> {
         let is_lost = |paths: &ServicePaths| paths.state == PathState::Lost;
         let lost = self.services.iter().filter(|(_, paths)| is_lost(paths));
@@ -229,12 +251,15 @@
         self.next_probe_at = Now::ZERO;
     }
 
-    fn on_reached(&mut self) -> Option<PathChange> {
+    fn on_reached(&mut self, now: Now) -> Option<PathChange> {
         self.waiting_since = None;
         self.failed.clear();
         match std::mem::take(&mut self.state) {
             PathState::Reached => None,
-            PathState::Suspected => Some(PathChange::Cleared),
+            PathState::Suspected => {
+                self.cleared_at = Some(now);
+                Some(PathChange::Cleared)
+            }
             PathState::Lost => Some(PathChange::Regained),
         }
     }
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -39,6 +39,8 @@
 const MAX_REFUSALS: usize = 4;
 /// Number of servers that cannot be reached after which another daemon is asked.
 const MAX_PATH_FAILURES: u32 = 2;
+/// Interval between checks whether the servers of a waiting request have become silent.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of a request that states no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Latency objective of a route that does not set one.
@@ -179,7 +181,7 @@
                 break response;
             }
         }
-        if is_lost {
+        if node.reachability.borrow().is_silent(clock::now(), &service) {
             let reason = "this host reaches no server of the service, and no other host does";
             break give_up(runs, last_response, StatusCode::BAD_GATEWAY, reason);
         }
@@ -402,12 +404,16 @@
     }
 }
 
-/// Waits until an attempt has become useless: all paths to the servers are lost, and the request may be
-/// sent elsewhere.
+/// Waits until an attempt has become useless: all paths to the servers are lost, the open connections as
+/// well, and the request may be sent elsewhere.
 async fn useless(node: &Node, service: &str, req: CallerRequest<'_>) {
     loop {
-        node.path_loss(service).await;
-        if !req.is_sent.get() || may_repeat(req.route) {
+        tokio::select! {
+            () = node.path_lost.notified() => {}
+            () = sleep(SILENCE_CHECK_INTERVAL) => {}
+        }
+        let is_silent = node.reachability.borrow().is_silent(clock::now(), service);
+        if is_silent && (!req.is_sent.get() || may_repeat(req.route)) {
             return;
         }
     }
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -191,16 +191,6 @@
         self.members.borrow().is_cut_off(clock::now(), host)
     }
 
-    /// Waits until all paths to the servers of a service are lost.
-    pub async fn path_loss(&self, service: &str) {
-        loop {
-            self.path_lost.notified().await;
-            if self.reachability.borrow().is_lost(service) {
-                return;
-            }
-        }
-    }
-
     /// Returns whether a planned stop has begun.
     pub fn is_leaving(&self) -> bool {
         self.state.get() == MemberState::Leaving
