Passed-on requests: no second host for a stream that one may have recorded, no refusal after a run

By reading, no test: a host that takes over a stream may write the record of its software version and then refuse it; a second host could begin the stream elsewhere under the same attempt, and a take-up would follow the record (ORDER). A stream is now passed on to one host only, unless nothing was sent. And an idempotent request that may have run here before it was passed on ends with 502 rather than with the other host's 503, as that refusal would not be true for it.

--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -169,14 +169,7 @@
         let is_lost = node.reachability.borrow().is_lost(&service);
         let passes_on = is_lost || path_failures >= MAX_PATH_FAILURES;
         if passes_on && arrival == Arrival::Caller && !scope.has_record() {
-            let forwarded = Forwarded {
-                route,
-                head,
-                service: &service,
-                deadline,
-                runs_left: max_runs - runs,
-                may_repeat: may_repeat(route),
-            };
+            let forwarded = Forwarded { route, head, service: &service, deadline, runs, max_runs };
             if let Some(response) = peer_forward::send(node, forwarded, &mut body).await {
                 break response;
             }
--- a/crates/daemon/src/hosted/peer_forward.rs
+++ b/crates/daemon/src/hosted/peer_forward.rs
@@ -13,7 +13,7 @@
 };
 
 use buckthornfall_core::{
-    desired::Route,
+    desired::{Route, RouteKind},
     peer_choice::{Peer, PeerEnd},
     Now,
 };
@@ -61,9 +61,23 @@
     pub head: &'a request::Parts,
     pub service: &'a str,
     pub deadline: Now,
-    /// Number of servers that may still run it.
-    pub runs_left: u32,
-    pub may_repeat: bool,
+    /// Number of servers that may have run it.
+    pub runs: u32,
+    /// Maximum number of servers that may run it.
+    pub max_runs: u32,
+}
+
+impl Forwarded<'_> {
+    /// Returns whether another daemon may be asked once the request may have run at one.
+    fn may_repeat(&self) -> bool {
+        self.route.kind == RouteKind::Idempotent
+    }
+
+    /// Returns whether another daemon may be asked once one has refused the request. That one may have
+    /// recorded at which software version the stream would begin.
+    fn may_follow_refusal(&self) -> bool {
+        self.route.kind != RouteKind::Stream
+    }
 }
 
 /// Outcome of one attempt at a daemon.
@@ -86,9 +100,9 @@
 ) -> Option<Response<ResponseBody>> {
     let id = header_text(&req.head.headers, &headers::ATTEMPT);
     let mut tried = Vec::new();
-    let mut runs = 0;
+    let mut runs = req.runs;
     let mut refusal = None;
-    while tried.len() < MAX_PEERS && runs < req.runs_left {
+    while tried.len() < MAX_PEERS && runs < req.max_runs {
         let remaining = req.deadline.saturating_sub(clock::now());
         let peer = node.peer_choice.borrow().choose(
             clock::now(),
@@ -101,7 +115,7 @@
         tried.push(peer.host.clone());
         let is_last = tried.len() == MAX_PEERS || body.len() > MAX_KEPT_BODY_BYTES;
         let sent = if is_last { std::mem::take(body) } else { body.clone() };
-        let wait = if is_last || !req.may_repeat { remaining } else { remaining / 2 };
+        let wait = if is_last || !req.may_repeat() { remaining } else { remaining / 2 };
         let started = clock::now();
         let guard = UseGuard::new(node, &peer);
         let outcome = exchange(node, &req, &peer, sent, runs, wait, guard).await;
@@ -112,11 +126,16 @@
             "request_passed_on");
         match outcome {
             Outcome::Response(response) => return Some(response),
-            Outcome::Refused(response) => refusal = Some(response),
+            Outcome::Refused(response) => {
+                refusal = Some(response);
+                if !req.may_follow_refusal() {
+                    break;
+                }
+            }
             Outcome::NotSent(_) => {}
             Outcome::Unknown(_) => {
                 runs += 1;
-                if !req.may_repeat {
+                if !req.may_repeat() {
                     break;
                 }
             }
@@ -129,7 +148,7 @@
         return None;
     }
     if runs > 0 {
-        let reason = "the other host did not answer";
+        let reason = "the request may have run, and no host has an answer";
         return Some(full_response(responses::error(StatusCode::BAD_GATEWAY, reason)));
     }
     Some(refusal.unwrap_or_else(|| {
@@ -233,7 +252,7 @@
         |number: u128| HeaderValue::from_str(&number.to_string()).map_err(http::Error::from);
     header_map.insert(HOP, HeaderValue::from_str(&node.settings().host)?);
     header_map.insert(headers::DEADLINE, number(left.as_millis())?);
-    header_map.insert(RUNS_LEFT, number(u128::from(req.runs_left - runs))?);
+    header_map.insert(RUNS_LEFT, number(u128::from(req.max_runs - runs))?);
     header_map.insert(DESIRED_VERSION, number(u128::from(version))?);
     Ok(message)
 }
