--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -14,7 +14,7 @@
 };
 
 /// Events that change the state of a daemon; included for each daemon that logged the id.
-const DAEMON_EVENTS: [&str; 13] = [
+const DAEMON_EVENTS: [&str; 14] = [
     "started",
     "stopping",
     "stopped",
@@ -28,6 +28,7 @@
     "settings_reloaded",
     "settings_unreadable",
     "software_mode",
+    "service_paths",
 ];
 /// Events of a server; included for each daemon that logged the id, if a line with the id names the
 /// server.
--- a/crates/cli/src/incident.rs
+++ b/crates/cli/src/incident.rs
@@ -14,7 +14,7 @@
 };
 
 /// Events of routine work, which are left out.
-const ROUTINE_EVENTS: [&str; 8] = [
+const ROUTINE_EVENTS: [&str; 11] = [
     "results_appended",
     "scored",
     "server_report",
@@ -23,11 +23,15 @@
     "job_opened",
     "job_closed",
     "job_known",
+    "path_probed",
+    "request_taken_over",
+    "directory_changed",
 ];
 /// Events with an outcome: event, field of the outcome, values that mean success. Successful ones
 /// are left out.
-const EVENTS_WITH_OUTCOME: [(&str, &str, &[&str]); 5] = [
+const EVENTS_WITH_OUTCOME: [(&str, &str, &[&str]); 6] = [
     ("permit", "outcome", &["granted"]),
+    ("request_passed_on", "outcome", &["answered"]),
     ("request_sent", "outcome", &["answered"]),
     ("request_answered", "status", &["200", "202"]),
     ("run_ended", "outcome", &["Complete"]),
@@ -78,9 +82,11 @@
     if ROUTINE_EVENTS.contains(&line.event.as_str()) {
         return None;
     }
-    if line.event == "software_mode" {
-        let field = |key| line.field(key).unwrap_or_default();
-        return Some(format!("{} {}", field("service"), field("mode")));
+    let field = |key| line.field(key).unwrap_or_default();
+    match line.event.as_str() {
+        "software_mode" => return Some(format!("{} {}", field("service"), field("mode"))),
+        "service_paths" => return Some(format!("{} {}", field("service"), field("state"))),
+        _ => {}
     }
     let Some((_, key, successes)) =
         EVENTS_WITH_OUTCOME.iter().find(|(event, ..)| *event == line.event)
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -159,6 +159,35 @@
     insta::assert_snapshot!("incident_stream", String::from_utf8_lossy(&output.stdout));
 }
 
+/// Writes the logs of a host that is cut off, passes requests on and has one refused.
+fn write_cut_off_log(test: &str) -> [String; 2] {
+    let log = "time=2026-12-05T08:16:08.000Z level=info event=service_paths service=desk state=suspected silence_ms=260\n\
+        time=2026-12-05T08:16:08.300Z level=info event=path_probed service=desk server=s1 connected=false detail=\"no answer\"\n\
+        time=2026-12-05T08:16:08.600Z level=info event=service_paths service=desk state=lost silence_ms=860\n\
+        time=2026-12-05T08:16:09.000Z level=info event=request_passed_on request=r1 route=desk service=desk peer=h2 outcome=answered detail=200 took_ms=30\n\
+        time=2026-12-05T08:16:09.001Z level=info event=request_answered request=r1 status=200 tries=0 runs=0\n\
+        time=2026-12-05T08:16:09.500Z level=info event=request_passed_on request=r2 route=desk service=desk peer=h2 outcome=refused detail=503 took_ms=3\n\
+        time=2026-12-05T08:16:20.000Z level=info event=service_paths service=desk state=regained silence_ms=12000\n";
+    let other = "time=2026-12-05T08:16:08.980Z level=info event=request_taken_over request=r1 from=h1 passed_on=1\n\
+        time=2026-12-05T08:16:08.995Z level=info event=request_sent request=r1 server=s1 outcome=answered\n";
+    [
+        write_temporary(&format!("{test}-h1.log"), log),
+        write_temporary(&format!("{test}-h2.log"), other),
+    ]
+}
+
+#[test]
+fn explain_and_incident_tell_that_a_host_was_cut_off_and_who_served_its_requests() {
+    let [one, two] = write_cut_off_log("explain-cut");
+    let output = run(&["explain", "r1", &one, &two]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    insta::assert_snapshot!("explain_cut_off", String::from_utf8_lossy(&output.stdout));
+    let [one, two] = write_cut_off_log("incident-cut");
+    let output = run(&["incident", &one, &two]);
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    insta::assert_snapshot!("incident_cut_off", String::from_utf8_lossy(&output.stdout));
+}
+
 #[test]
 fn report_capacity_lists_what_limited_servers_still_take() {
     let output = run(&["report", "capacity", &write_limit_log("capacity")]);
--- a/crates/core/benches/request_path.rs
+++ b/crates/core/benches/request_path.rs
@@ -12,9 +12,13 @@
 use buckthornfall_core::{
     admission::Admission,
     auth::Tokens,
+    backends::{Backend, Backends, Location},
     dispatch::{AttemptEvent, DispatchAction},
     entry,
+    members::Members,
     membership::PeerView,
+    peer_choice::PeerChoice,
+    reachability::Reachability,
     Now,
 };
 use buckthornfall_proto::{
@@ -22,7 +26,7 @@
     codec::{decode, encode},
     hot::MemberEntry,
     manifest::Manifest,
-    messages::{EngineState, Gossip, PeerMessage},
+    messages::{EngineState, Gossip, MemberRow, MemberState, PeerMessage, ReachRow},
 };
 use criterion::{criterion_group, criterion_main, Criterion};
 
@@ -108,6 +112,61 @@
     });
 }
 
+fn bench_reachability(c: &mut Criterion) {
+    let mut backends = Backends::default();
+    for index in 0..SERVERS {
+        backends.upsert(Backend {
+            id: format!("server-{index}"),
+            service: format!("service-{}", index % 10),
+            addr: ([10, 0, 0, 1], 80).into(),
+            zone: format!("zone-{}", index % 11),
+            slots: 8,
+            draining: false,
+            started_ms: 1,
+            software: String::new(),
+            models: Vec::new(),
+        });
+    }
+    let mut reachability = Reachability::default();
+    let mut millis = 0;
+    c.bench_function("check of the paths, 2,500 servers", |b| {
+        b.iter(|| {
+            millis += 50;
+            reachability.tick(Duration::from_millis(millis), black_box(&backends))
+        });
+    });
+    let now = Duration::from_secs(100);
+    let mut members = Members::new(host(0));
+    members.on_contact(now);
+    for index in 0..DAEMONS {
+        let row = MemberRow {
+            front: format!("10.1.{}.{}:8000", index / 250, index % 250),
+            peers: format!("10.1.{}.{}:9000", index / 250, index % 250),
+            zone: format!("zone-{}", index % 11),
+            state: MemberState::Serving,
+            incarnation: 1,
+            beat: 1,
+            beat_ms: 8_000,
+            store_ms: 5,
+            requests_per_s: 67,
+        };
+        members.on_row(now, &host(index), row);
+        if index % 11 == 0 {
+            let row = ReachRow { incarnation: 1, lost: vec!["service-1".to_owned()] };
+            members.on_reach(&host(index), Some(row));
+        }
+    }
+    members.set_own_lost(vec!["service-1".to_owned()]);
+    let location = Location { zone: "zone-0".to_owned(), ..Location::default() };
+    c.bench_function("directory answer, 37 of 400 daemons cut off", |b| {
+        b.iter(|| members.entry_addresses(now, black_box(&location), 64));
+    });
+    let choice = PeerChoice::default();
+    c.bench_function("choice of a peer, 37 of 400 daemons cut off", |b| {
+        b.iter(|| choice.choose(now, &members, black_box(&location), "service-1", &[]));
+    });
+}
+
 fn bench_codec(c: &mut Criterion) {
     let member = |i: usize| MemberEntry {
         host: host(i),
@@ -131,5 +190,12 @@
     });
 }
 
-criterion_group!(benches, bench_routing, bench_admission, bench_entry_answer, bench_codec);
+criterion_group!(
+    benches,
+    bench_routing,
+    bench_admission,
+    bench_entry_answer,
+    bench_reachability,
+    bench_codec
+);
 criterion_main!(benches);
