bench fleet plays callers of daemons that are cut off from all servers

Purpose: no figures argued for the way of cut-off hosts (refuse, leave the directory, pass on). An experiment may have callers, a fault cuts daemons off, and lost_paths selects what they do; the decisions are those of the daemons (reachability, members, peer_choice).

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -1,10 +1,11 @@
 //! Closed-loop simulation of a fleet in virtual time, on the state machines that daemons run.
 //!
 //! A trainer submits a step only once the previous weight version is named, so a delay carries over
-//! to the steps after it. An experiment file sets sizes, load and faults. Not simulated: callers of
-//! plain services, request bodies and prompts, groups carried over to another step, relayed calls,
-//! and the computing time of decisions.
+//! to the steps after it. Callers of a plain service are simulated beside the trainers, with first attempts
+//! only. An experiment file sets sizes, load and faults. Not simulated: request bodies and prompts, groups
+//! carried over to another step, relayed calls, and the computing time of decisions.
 
+mod callers;
 mod controller;
 mod experiment;
 mod report;
@@ -13,8 +14,8 @@
 mod trainer;
 
 pub use self::{
-    experiment::{Error, Experiment, Fault, FaultKind},
-    report::{FleetReport, TrainerReport},
+    experiment::{Callers, Error, Experiment, Fault, FaultKind, LostPathPolicy},
+    report::{CallersReport, FleetReport, TrainerReport},
 };
 
 use std::{
--- a/crates/bench/src/fleet/experiment.rs
+++ b/crates/bench/src/fleet/experiment.rs
@@ -53,11 +53,44 @@
     /// How daemons keep to the request limits of servers.
     #[serde(default)]
     pub limits: LimitPolicy,
+    /// Callers of a plain service; none by default.
+    #[serde(default)]
+    pub callers: Option<Callers>,
     /// Injected faults.
     #[serde(default)]
     pub faults: Vec<Fault>,
 }
 
+/// Settings of the callers of a plain service.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Callers {
+    /// Number of callers.
+    pub count: usize,
+    /// Requests of all callers per second.
+    pub requests_per_s: f64,
+    /// Time for which a caller keeps the addresses that it was told.
+    pub keep_ms: u64,
+    /// What a daemon does that has lost all servers.
+    #[serde(default)]
+    pub lost_paths: LostPathPolicy,
+}
+
+/// What a daemon does that has lost all servers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LostPathPolicy {
+    /// It refuses its callers.
+    Refuse,
+    /// It refuses its callers, and the directory no longer names it.
+    LeaveDirectory,
+    /// It passes requests on to other daemons.
+    PassOn,
+    /// It passes requests on, and the directory no longer names it.
+    #[default]
+    PassOnAndLeave,
+}
+
 /// How daemons keep to the request limits of servers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -189,6 +222,9 @@
     /// The daemon that holds the lease for orders to servers is killed, and restarts at the end of
     /// the fault.
     HolderKilled,
+    /// Daemons reach no server, while callers, the store and the other daemons reach them. Only callers
+    /// are affected in the simulation, not trainers.
+    DaemonsCutOff,
 }
 
 impl Experiment {
@@ -218,6 +254,10 @@
                 );
             }
         }
+        if let Some(callers) = &self.callers {
+            check_min("callers.count", callers.count, 1)?;
+            check_positive("callers.requests_per_s", callers.requests_per_s)?;
+        }
         for (index, fault) in self.faults.iter().enumerate() {
             check_share(&format!("faults[{index}].share"), fault.share)?;
             check_positive(&format!("faults[{index}].slower"), fault.slower)?;
--- a/crates/bench/src/fleet/report.rs
+++ b/crates/bench/src/fleet/report.rs
@@ -6,7 +6,11 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
-use super::{experiment::Experiment, trainer::Trainer};
+use super::{
+    callers::{CallersResult, Share},
+    experiment::Experiment,
+    trainer::Trainer,
+};
 
 /// Length of the windows of submission time, the worst of which is reported.
 const WINDOW: Duration = Duration::from_secs(2);
@@ -22,6 +26,7 @@
     worst_window: f64,
     loads: usize,
     violations: Vec<String>,
+    callers: Option<CallersResult>,
 }
 
 /// Results of a trainer with one seed.
@@ -43,6 +48,7 @@
         cfg: &Experiment,
         loads: usize,
         violations: Vec<String>,
+        callers: Option<CallersResult>,
     ) -> SimulationResult {
         let load_time = Duration::from_millis(cfg.load_ms);
         let mut windows: BTreeMap<u128, (usize, usize)> = BTreeMap::new();
@@ -70,7 +76,7 @@
         let share =
             |(on_time, planned): &(usize, usize)| *on_time as f64 / (*planned).max(1) as f64;
         let worst_window = windows.values().map(share).fold(1.0, f64::min);
-        SimulationResult { trainers, worst_window, loads, violations }
+        SimulationResult { trainers, worst_window, loads, violations, callers }
     }
 
     /// Returns the share of groups on time.
@@ -118,6 +124,39 @@
     pub not_asked: Mean,
 }
 
+/// Shares of callers' first attempts that were served while daemons were cut off, over all seeds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CallersReport {
+    /// At daemons that were cut off, in the first 4 s of a cut.
+    pub early: Mean,
+    /// At daemons that were cut off, afterwards.
+    pub cut_off: Mean,
+    /// At the other daemons.
+    pub others: Mean,
+    /// First attempts at daemons that were cut off, after the first 4 s, for each seed.
+    pub tries: Mean,
+    /// Most requests in flight that other daemons had passed on to one daemon.
+    pub most_passed_on: u32,
+}
+
+impl CallersReport {
+    /// Returns `None` if no callers were simulated.
+    fn new(results: &[SimulationResult]) -> Option<CallersReport> {
+        let results: Vec<_> = results.iter().filter_map(|result| result.callers).collect();
+        let mean = |value: &dyn Fn(&CallersResult) -> f64| {
+            Mean::of(&results.iter().map(value).collect::<Vec<_>>())
+        };
+        let share = |of: fn(&CallersResult) -> Share| mean(&|result| of(result).value());
+        Some(CallersReport {
+            early: share(|result| result.early),
+            cut_off: share(|result| result.cut_off),
+            others: share(|result| result.others),
+            tries: mean(&|result| f64::from(result.cut_off.tries)),
+            most_passed_on: results.iter().map(|result| result.most_passed_on).max()?,
+        })
+    }
+}
+
 /// Results of an experiment over all seeds.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct FleetReport {
@@ -133,6 +172,9 @@
     pub loads: Mean,
     /// Results of each trainer.
     pub trainers: Vec<TrainerReport>,
+    /// Results of the callers, if there are any.
+    #[serde(default)]
+    pub callers: Option<CallersReport>,
     /// Violations of guarantees, each with its seed.
     pub broken: Vec<String>,
 }
@@ -173,6 +215,7 @@
             worst_window: mean_of(&|result| result.worst_window),
             loads: mean_of(&|result| result.loads as f64),
             trainers: trainers.collect(),
+            callers: CallersReport::new(results),
             broken: violations.collect(),
         }
     }
@@ -221,6 +264,15 @@
         let loads = mean(self.loads, 1);
         writeln!(text, "all groups {on_time}, worst two seconds {window}, loads {loads}")
             .expect("writing to a string cannot fail");
+        if let Some(callers) = &self.callers {
+            let (early, late) = (mean(callers.early, 3), mean(callers.cut_off, 3));
+            let (others, tries) = (mean(callers.others, 3), mean(callers.tries, 0));
+            writeln!(text, "callers served at daemons that are cut off: {early} in the first 4 s, {late} afterwards ({tries} tries)")
+                .expect("writing to a string cannot fail");
+            let most = callers.most_passed_on;
+            writeln!(text, "callers served at the others: {others}; at most {most} requests passed on to one at a time")
+                .expect("writing to a string cannot fail");
+        }
         match self.broken.first() {
             Some(first) => writeln!(text, "{} promises broken; {first}", self.broken.len()),
             None => writeln!(text, "every promise was kept"),
--- a/crates/bench/src/fleet/simulation.rs
+++ b/crates/bench/src/fleet/simulation.rs
@@ -24,7 +24,7 @@
 pub use self::limits::ServerLimit;
 
 use super::{
-    controller::LeasedController, experiment::Experiment, report::SimulationResult,
+    callers, controller::LeasedController, experiment::Experiment, report::SimulationResult,
     servers::Server, trainer::Trainer,
 };
 
@@ -102,6 +102,7 @@
 /// Simulation of an experiment with one seed.
 pub struct Simulation<'a> {
     cfg: &'a Experiment,
+    seed: u64,
     now: Now,
     rng: SmallRng,
     queue: BTreeMap<(Now, u64), Event>,
@@ -130,6 +131,7 @@
         servers.shuffle(&mut rng);
         let mut simulation = Simulation {
             cfg,
+            seed,
             now: START,
             rng,
             queue: BTreeMap::new(),
@@ -163,7 +165,10 @@
             self.handle(event);
         }
         self.violations.extend(self.limit_violations());
-        SimulationResult::new(&self.trainers, START, self.cfg, self.weight_loads, self.violations)
+        let callers = self.cfg.callers.as_ref();
+        let callers = callers.map(|cfg| callers::Simulation::new(self.cfg, cfg, self.seed).run());
+        let (loads, violations) = (self.weight_loads, self.violations);
+        SimulationResult::new(&self.trainers, START, self.cfg, loads, violations, callers)
     }
 
     fn new_host(host: usize, incarnation: u64) -> Host {
--- a/crates/bench/src/fleet/simulation/faults.rs
+++ b/crates/bench/src/fleet/simulation/faults.rs
@@ -49,6 +49,7 @@
                     self.kill_daemon(host, Duration::from_millis(fault.for_ms));
                 }
             }
+            FaultKind::DaemonsCutOff => {}
         }
     }
 
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -1,11 +1,14 @@
 //! Fleet simulation: errors of invalid experiments, and recovery after outages.
 
-use buckthornfall_bench::fleet::{simulate, Experiment, FleetReport};
+use buckthornfall_bench::fleet::{simulate, CallersReport, Experiment, FleetReport};
 use serde_json::{json, Value};
 
 const OUTAGE: &str = include_str!("../../../examples/fleet-outage.json");
+const CUT_OFF: &str = include_str!("../../../examples/fleet-cut-off.json");
 /// Number of seeds.
 const SEEDS: u64 = 12;
+/// Number of seeds of the comparison for daemons that are cut off.
+const CUT_OFF_SEEDS: u64 = 4;
 
 fn outage() -> Value {
     serde_json::from_str(OUTAGE).expect("examples/fleet-outage.json is not valid JSON")
@@ -27,6 +30,8 @@
         error(|e| e["servers"]["event_ms"] = json!(0)),
         error(|e| e["faults"][2]["share"] = json!(1.5)),
         error(|e| e["daemons"] = json!(0)),
+        error(|e| e["callers"] = json!({ "count": 0, "requests_per_s": 1.0, "keep_ms": 1 })),
+        error(|e| e["callers"] = json!({ "count": 1, "requests_per_s": 0.0, "keep_ms": 1 })),
         error(|e| e["faults"][0]["kind"] = json!("flood")),
         error(|e| e["trainer"] = json!([])),
     ];
@@ -61,6 +66,31 @@
     insta::assert_snapshot!(reports.iter().map(row).collect::<Vec<_>>().join("\n"));
 }
 
+/// Compares what daemons do that are cut off from all servers: a third of them, then nine tenths.
+#[test]
+fn only_requests_that_are_passed_on_are_served_at_daemons_that_are_cut_off() {
+    let policies = ["refuse", "leave_directory", "pass_on", "pass_on_and_leave"];
+    let reports = policies.map(|policy| {
+        let mut experiment: Value = serde_json::from_str(CUT_OFF).unwrap();
+        experiment["callers"]["lost_paths"] = json!(policy);
+        let experiment = Experiment::from_json(&experiment.to_string()).unwrap();
+        simulate(&experiment, CUT_OFF_SEEDS, 2, |_| ()).callers.unwrap()
+    });
+    let [refuse, leave, pass_on, both] = &reports;
+    assert!(refuse.cut_off.mean < 0.01 && leave.cut_off.mean < 0.01);
+    for report in [pass_on, both] {
+        assert!(report.cut_off.mean >= report.others.mean * 0.9, "{report:?}");
+    }
+    assert!(leave.tries.mean < refuse.tries.mean && both.tries.mean < pass_on.tries.mean);
+    let row = |(policy, report): (&str, &CallersReport)| {
+        let (early, late, others) = (report.early.mean, report.cut_off.mean, report.others.mean);
+        let tries = report.tries.mean;
+        format!("{policy:17} {early:.3} early, {late:.3} later of {tries:.0}, {others:.3} at the others")
+    };
+    let rows: Vec<_> = policies.into_iter().zip(&reports).map(row).collect();
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
 #[test]
 fn results_do_not_depend_on_the_number_of_threads() {
     let experiment = Experiment::from_json(OUTAGE).unwrap();
