--- a/crates/core/tests/reachability.rs
+++ b/crates/core/tests/reachability.rs
@@ -323,10 +323,12 @@
 const SERVICES: [&str; 2] = ["desk", "models"];
 /// Time from the begin of a cut after which its host has to be served by others.
 const CONTACT: Duration = Duration::from_secs(4);
+/// Maximum number of hosts that a request is passed on to.
+const MAX_PEERS: usize = 2;
 /// Time for which a duty may stay at a host that is cut off.
 const DUTY_BOUND: Duration = Duration::from_secs(2);
 
-/// Hosts, servers and random cuts; the store delays rows and is away at times.
+/// Hosts, servers and random cuts, also between two hosts; the store delays rows and is away at times.
 struct Simulation {
     rng: SmallRng,
     hosts: Vec<Host>,
@@ -336,6 +338,8 @@
     /// Spans in which a service is down for all.
     down: Vec<(Now, Now, &'static str)>,
     store_away: (Now, Now),
+    /// Spans in which two hosts do not reach each other.
+    peer_cuts: Vec<(Now, Now, [usize; 2])>,
     /// Rows on their way to the other daemons: time of arrival, host, lost services.
     rows: Vec<(Now, usize, Vec<String>)>,
     told: Vec<Vec<String>>,
@@ -372,6 +376,15 @@
             let until = from + rng.random_range(500..4_000);
             down.push((at(from), at(until), SERVICES[rng.random_range(0..2)]));
         }
+        let mut peer_cuts = Vec::new();
+        for host in 0..cut_count {
+            let from = rng.random_range(1_000..15_000);
+            let until = from + rng.random_range(500..9_000);
+            let other = rng.random_range(0..count);
+            if rng.random_bool(0.5) && other != host {
+                peer_cuts.push((at(from), at(until), [host, other]));
+            }
+        }
         let away = rng.random_range(0..20_000);
         let hosts = (0..count).map(|_| Host::new(&servers)).collect();
         let views = (0..count).map(|own| {
@@ -386,6 +399,7 @@
             cuts,
             down,
             store_away: (at(away), at(away + rng.random_range(0..3_000))),
+            peer_cuts,
             rows: Vec::new(),
             told: vec![Vec::new(); count],
             rng,
@@ -491,20 +505,38 @@
         connects
     }
 
+    /// Passes a request on to at most two other hosts, one after the other.
     fn pass_on(&mut self, now: Now, host: usize, service: &str) -> bool {
-        let choice = &self.choices[host];
         let place = location(ZONES[host % 3]);
-        let Some(peer) = choice.choose(now, &self.views[host], &place, service, &[]) else {
-            return false;
-        };
-        let index: usize = peer.host[1..].parse().expect("a host of the simulation");
-        assert_ne!(index, host, "a request is passed on to its own host");
-        self.choices[host].started(&peer.host);
-        let server = format!("{service}-{}", self.rng.random_range(0..6));
-        let served = self.serve(now, index, service, &server);
-        let end = if served { PeerEnd::Answered } else { PeerEnd::Refused };
-        self.choices[host].ended(now, &peer.host, end);
-        served
+        let mut tried = Vec::new();
+        while tried.len() < MAX_PEERS {
+            let choice = &self.choices[host];
+            let peer = choice.choose(now, &self.views[host], &place, service, &tried);
+            let Some(peer) = peer else { return false };
+            let index: usize = peer.host[1..].parse().expect("a host of the simulation");
+            assert_ne!(index, host, "a request is passed on to its own host");
+            self.choices[host].started(&peer.host);
+            let server = format!("{service}-{}", self.rng.random_range(0..6));
+            let end = if self.peers_are_cut(now, host, index) {
+                PeerEnd::Failed
+            } else if self.serve(now, index, service, &server) {
+                PeerEnd::Answered
+            } else {
+                PeerEnd::Refused
+            };
+            self.choices[host].ended(now, &peer.host, end);
+            if end == PeerEnd::Answered {
+                return true;
+            }
+            tried.push(peer.host);
+        }
+        false
+    }
+
+    fn peers_are_cut(&self, now: Now, host: usize, other: usize) -> bool {
+        self.peer_cuts.iter().any(|(from, until, pair)| {
+            (*from..*until).contains(&now) && pair.contains(&host) && pair.contains(&other)
+        })
     }
 
     fn check_duty(
