--- a/crates/bench/src/fleet/experiment.rs
+++ b/crates/bench/src/fleet/experiment.rs
@@ -259,6 +259,10 @@
             check_positive("callers.requests_per_s", callers.requests_per_s)?;
         }
         for (index, fault) in self.faults.iter().enumerate() {
+            if fault.kind == FaultKind::DaemonsCutOff && self.callers.is_none() {
+                let message = "daemons_cut_off affects callers only; add \"callers\"";
+                return invalid_value(format!("faults[{index}].kind"), message);
+            }
             check_share(&format!("faults[{index}].share"), fault.share)?;
             check_positive(&format!("faults[{index}].slower"), fault.slower)?;
             check_positive(&format!("faults[{index}].rate"), fault.rate)?;
--- a/crates/bench/tests/fleet.rs
+++ b/crates/bench/tests/fleet.rs
@@ -32,6 +32,7 @@
         error(|e| e["daemons"] = json!(0)),
         error(|e| e["callers"] = json!({ "count": 0, "requests_per_s": 1.0, "keep_ms": 1 })),
         error(|e| e["callers"] = json!({ "count": 1, "requests_per_s": 0.0, "keep_ms": 1 })),
+        error(|e| e["faults"][0]["kind"] = json!("daemons_cut_off")),
         error(|e| e["faults"][0]["kind"] = json!("flood")),
         error(|e| e["trainer"] = json!([])),
     ];
