A connection is not idle while a response is sent on it

What callers saw: after a stream that lasts longer than IdleTimeoutMs, the daemon closes the connection, although it was idle for no moment; a request that the caller sends on it at once has no answer.

Cause: the activity of a connection ended with the head of a response, so the time of its body counted as idle, and the shutdown began inside it. Fix: the count is held by the body and ends when that is dropped.

Test, red before (first of three streams of 3 s on a connection with an idle timeout of 0.6 s answered, the second and third closed without a byte), green after.

--- a/crates/daemon/src/hosted/server.rs
+++ b/crates/daemon/src/hosted/server.rs
@@ -13,8 +13,12 @@
 };
 
 use buckthornfall_core::Now;
-
-use hyper::{server::conn::http1, service::service_fn};
+use bytes::Bytes;
+use hyper::{
+    body::{Body, Frame, SizeHint},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use log::{info, warn};
 use tokio::{
@@ -23,7 +27,11 @@
     time::sleep,
 };
 
-use super::{clock, entry, node::Node};
+use super::{
+    body::{RelayError, ResponseBody},
+    clock, entry,
+    node::Node,
+};
 
 /// Minimum buffer size that hyper accepts for a request head.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
@@ -72,7 +80,7 @@
 /// Activity on one connection.
 struct Activity {
     in_flight: Cell<usize>,
-    /// When the last request ended.
+    /// When the last response ended.
     last_end: Cell<Now>,
     /// When the first bytes arrived of a request head that is not complete yet.
     head_since: Cell<Option<Now>>,
@@ -84,16 +92,6 @@
         Rc::new(Activity { in_flight, last_end: Cell::new(clock::now()), head_since })
     }
 
-    fn on_request(&self) {
-        self.in_flight.set(self.in_flight.get() + 1);
-        self.head_since.set(None);
-    }
-
-    fn on_response(&self) {
-        self.in_flight.set(self.in_flight.get() - 1);
-        self.last_end.set(clock::now());
-    }
-
     fn is_idle(&self, timeout: Duration) -> bool {
         self.in_flight.get() == 0 && clock::now().saturating_sub(self.last_end.get()) > timeout
     }
@@ -105,6 +103,50 @@
     }
 }
 
+/// Counts a request as in flight on its connection until its response has been sent.
+struct ActivityGuard(Rc<Activity>);
+
+impl ActivityGuard {
+    fn new(activity: &Rc<Activity>) -> ActivityGuard {
+        activity.in_flight.set(activity.in_flight.get() + 1);
+        activity.head_since.set(None);
+        ActivityGuard(Rc::clone(activity))
+    }
+}
+
+impl Drop for ActivityGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.last_end.set(clock::now());
+    }
+}
+
+/// Body of a response during which its connection is not idle.
+struct ActiveBody {
+    body: ResponseBody,
+    _guard: ActivityGuard,
+}
+
+impl Body for ActiveBody {
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Stream of a connection that records when a request head starts to arrive.
 struct MonitoredStream {
     stream: TcpStream,
@@ -169,13 +211,12 @@
     let service = service_fn(move |req| {
         let (activity, node) = (Rc::clone(&service_activity), Rc::clone(&service_node));
         async move {
-            activity.on_request();
+            let guard = ActivityGuard::new(&activity);
             let response = match kind {
                 ListenerKind::Requests => entry::handle(node, req).await,
                 ListenerKind::Metrics => entry::metrics(&node),
             };
-            activity.on_response();
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| ActiveBody { body, _guard: guard }))
         }
     });
     let conn = http1::Builder::new()
