A connection on which a request head arrives is not closed as idle

What callers saw: a request on a kept connection, begun within the idle timeout and sent slowly within the header timeout, has no answer.

Cause: idleness was judged by the last response alone, so the timeout could end while a head was arriving, and the shutdown drops a head that is not complete. A planned stop did the same. Fix: no shutdown while a head arrives; the header timeout bounds that.

--- a/crates/daemon/src/hosted/server.rs
+++ b/crates/daemon/src/hosted/server.rs
@@ -92,6 +92,11 @@
         Rc::new(Activity { in_flight, last_end: Cell::new(clock::now()), head_since })
     }
 
+    /// Returns whether a request head has begun to arrive and is not complete yet.
+    fn has_partial_head(&self) -> bool {
+        self.head_since.get().is_some()
+    }
+
     fn is_idle(&self, timeout: Duration) -> bool {
         self.in_flight.get() == 0 && clock::now().saturating_sub(self.last_end.get()) > timeout
     }
@@ -235,7 +240,9 @@
             info!(limit_ms = limits.header_timeout.as_millis() as u64; "head_not_in_time");
             return;
         }
-        if !closing && (node.is_leaving() || activity.is_idle(limits.idle_timeout)) {
+        let is_due = node.is_leaving() || activity.is_idle(limits.idle_timeout);
+        // A shutdown while a head arrives would leave the request without an answer.
+        if !closing && is_due && !activity.has_partial_head() {
             closing = true;
             conn.as_mut().graceful_shutdown();
         }
