--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 mod json;
 
 mod errored_sample;
+mod event_data;
 mod gone_server;
 mod net;
 mod planned_stop;
@@ -24,6 +25,7 @@
         "planned-stop" => planned_stop::run,
         "suspected-lookups" => suspected_lookups::run,
         "errored-sample" => errored_sample::run,
+        "event-data" => event_data::run,
         "gone-server" => gone_server::run,
         _ => {
             eprintln!("unknown case {name:?}");
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -220,6 +220,8 @@
 pub struct Conn {
     pub index: u64,
     pub server: String,
+    /// Start time that the server states, in Unix ms.
+    pub born: Arc<AtomicU64>,
     /// Bytes that precede the next response on this connection.
     pub pending: Mutex<Vec<u8>>,
 }
@@ -234,6 +236,7 @@
     /// Whether the entry is being written.
     is_listed: Arc<AtomicBool>,
     open: Arc<Mutex<BTreeMap<u64, TcpStream>>>,
+    born: Arc<AtomicU64>,
 }
 
 impl Server {
@@ -248,7 +251,8 @@
         entry.set("Address", addr.to_string().into());
         entry.set("State", "ready".into());
         entry.set("ColdRemainingMs", 0.into());
-        entry.set("born", unix_ms().into());
+        let born = Arc::new(AtomicU64::new(unix_ms()));
+        entry.set("born", born.load(Ordering::SeqCst).into());
         let server = Server {
             id: id.to_owned(),
             addr,
@@ -257,6 +261,7 @@
             is_up: Arc::new(AtomicBool::new(true)),
             is_listed: Arc::new(AtomicBool::new(true)),
             open: Arc::default(),
+            born,
         };
         server.write_entries();
         server.accept(listener, Arc::new(handler));
@@ -286,7 +291,7 @@
     }
 
     fn accept(&self, listener: TcpListener, handler: Arc<Handler>) {
-        let (addr, id) = (self.addr, self.id.clone());
+        let (addr, id, born) = (self.addr, self.id.clone(), Arc::clone(&self.born));
         let (is_up, open) = (Arc::clone(&self.is_up), Arc::clone(&self.open));
         thread::spawn(move || {
             static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -314,7 +319,8 @@
                 let copy = stream.try_clone().expect("a socket");
                 open.lock().unwrap().insert(index, copy);
                 let (handler, open, server) = (Arc::clone(&handler), Arc::clone(&open), id.clone());
-                let conn = Conn { index, server, pending: Mutex::default() };
+                let conn =
+                    Conn { index, server, born: Arc::clone(&born), pending: Mutex::default() };
                 thread::spawn(move || {
                     serve(stream, &conn, &*handler);
                     open.lock().unwrap().remove(&conn.index);
@@ -333,7 +339,8 @@
 
     /// Starts the process again under its id.
     pub fn restart(&self) {
-        self.entry.lock().unwrap().set("born", unix_ms().into());
+        self.born.store(unix_ms(), Ordering::SeqCst);
+        self.entry.lock().unwrap().set("born", self.born.load(Ordering::SeqCst).into());
         self.is_up.store(true, Ordering::SeqCst);
         self.update(|_| ());
     }
@@ -368,11 +375,14 @@
     }
 }
 
-/// Returns the bytes of a server's response.
+/// Returns the bytes of a server's response. A response to a request without an id has no proof.
 pub fn response(status: u16, id: &str, extra: &str, body: &[u8]) -> Vec<u8> {
+    let own = match id {
+        "" => String::new(),
+        id => format!("X-Attempt-Id: {id}\r\nX-Response-Signature: proof.{id}.{status}\r\n"),
+    };
     let head = format!(
-        "HTTP/1.1 {status} X\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: proof.{id}.{status}\r\n\
-         {extra}Keep-Alive: timeout=3\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 {status} X\r\n{own}{extra}Keep-Alive: timeout=3\r\nContent-Length: {}\r\n\r\n",
         body.len()
     );
     [head.as_bytes(), body].concat()
