--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Plays the case; see claim.txt. Run review/build.sh first.
 cd "$(dirname "$0")/../.."
 [ -x target/review/standins ] && [ -x target/release/buckthornfalld ] || exit 2
-exec target/review/standins gone-server review/4
+exec target/review/standins event-data review/4
