Client accounts, keys and usage: types and their way through the hosted daemon

Callers of a deployment with client accounts were served without a look at their keys, the keys went on to the servers, and nobody reported usage.

The desired state now carries accounts, public routes and the limits of orders of servers; the settings carry the revocation time and the duties. The lease that was the weight controller's moves into a holder of its own, which serves all duties. Without accounts and duties in the configuration nothing changes on the wire.

--- a/crates/bench/src/fleet/callers.rs
+++ b/crates/bench/src/fleet/callers.rs
@@ -408,6 +408,7 @@
         slots,
         draining: false,
         started_ms: 1,
+        spot: false,
         software: String::new(),
         models: Vec::new(),
     }
--- a/crates/bench/src/fleet/servers.rs
+++ b/crates/bench/src/fleet/servers.rs
@@ -77,6 +77,7 @@
             slots: cfg.slots,
             draining: false,
             started_ms: 1,
+            spot: false,
             software: String::new(),
             models: self.held_models(),
         }
--- a/crates/core/benches/request_path.rs
+++ b/crates/core/benches/request_path.rs
@@ -123,6 +123,7 @@
             slots: 8,
             draining: false,
             started_ms: 1,
+            spot: false,
             software: String::new(),
             models: Vec::new(),
         });
--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -41,6 +41,8 @@
     pub draining: bool,
     /// Start time of the server process, in Unix milliseconds; 0 if not reported.
     pub started_ms: u64,
+    /// Whether the server may be reclaimed at short notice.
+    pub spot: bool,
     /// Software version of the server process.
     pub software: SoftwareVersion,
     /// Models loaded by the server.
--- a/crates/core/src/desired.rs
+++ b/crates/core/src/desired.rs
@@ -1,9 +1,11 @@
 //! Desired state of a deployment: routes, services and limits.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use buckthornfall_proto::ids::ServiceName;
 
+use crate::accounts::Accounts;
+
 /// Version of the desired state; increases with each change.
 pub type DesiredVersion = u64;
 
@@ -52,6 +54,8 @@
     pub max_attempts: u32,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Whether requests need no key of a client account.
+    pub is_public: bool,
     /// Whether an interrupted stream may resume on another server.
     pub resumable: bool,
     /// Whether a single weight version must generate a whole sample.
@@ -76,6 +80,21 @@
     }
 }
 
+/// Limits and prices of the servers that may be ordered for a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Scaling {
+    /// Minimum number of servers in an availability zone, at most `max`.
+    pub min: u32,
+    /// Maximum number of servers in an availability zone, spot servers included.
+    pub max: u32,
+    /// Time until an ordered server serves.
+    pub boot: Duration,
+    /// Price of a spot server relative to others; `None` if there are none.
+    pub spot_price: Option<f64>,
+    /// Price of a second of a server in each availability zone that has them.
+    pub zone_prices: BTreeMap<String, f64>,
+}
+
 /// A service and its properties.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -85,6 +104,8 @@
     pub max_connections: u32,
     /// Models that its servers hold; empty for a service without models.
     pub models: Vec<String>,
+    /// Limits of the orders of servers; `None` if their number is fixed.
+    pub scaling: Option<Scaling>,
 }
 
 /// Size limits and timeouts for callers.
@@ -122,6 +143,10 @@
     pub services: Vec<Service>,
     /// Limits for callers.
     pub limits: Limits,
+    /// Client accounts; `None` if requests need no keys.
+    pub accounts: Option<Accounts>,
+    /// Problems of parts that are not in force, for the log.
+    pub problems: Vec<String>,
 }
 
 impl Desired {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! resulting actions. Nothing here does I/O, reads a clock, spawns a thread or generates random
 //! numbers, so that tests can inject any fault between any two steps.
 
+pub mod accounts;
 pub mod admission;
 pub mod auth;
 pub mod backends;
@@ -14,6 +15,7 @@
 pub mod desired;
 pub mod dispatch;
 pub mod drain;
+pub mod duties;
 pub mod entry;
 pub mod error;
 pub mod fleet;
@@ -41,6 +43,7 @@
 pub mod store;
 pub mod suspects;
 pub mod table;
+pub mod usage;
 pub mod weights;
 
 use std::time::Duration;
--- a/crates/core/tests/crash_series.rs
+++ b/crates/core/tests/crash_series.rs
@@ -236,6 +236,7 @@
         slots: 8,
         draining: false,
         started_ms,
+        spot: false,
         software: String::new(),
         models: vec![HeldModel { name: "drafts".to_owned(), version: 1 }],
     }
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -151,6 +151,7 @@
                 slots: 8,
                 draining: false,
                 started_ms: 1,
+                spot: false,
                 software: String::new(),
                 models: vec![HeldModel { name: "m".to_owned(), version: server.version }],
             });
--- a/crates/core/tests/heavy_days.rs
+++ b/crates/core/tests/heavy_days.rs
@@ -93,6 +93,7 @@
                 slots: SLOTS,
                 draining: false,
                 started_ms: 1,
+                spot: false,
                 software: String::new(),
                 models: TRAINERS.iter().map(held).collect(),
             });
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -99,6 +99,7 @@
         slots: 2,
         draining: false,
         started_ms: 1,
+        spot: false,
         software: String::new(),
         models: vec![HeldModel { name: MODEL.to_owned(), version }],
     }
--- a/crates/core/tests/reachability.rs
+++ b/crates/core/tests/reachability.rs
@@ -28,6 +28,7 @@
         slots: 8,
         draining: false,
         started_ms: 1,
+        spot: false,
         software: String::new(),
         models: Vec::new(),
     }
--- a/crates/core/tests/retention.rs
+++ b/crates/core/tests/retention.rs
@@ -10,6 +10,7 @@
 fn job(state: JobState) -> JobRow {
     JobRow {
         state,
+        account: None,
         owner: "h1".to_owned(),
         host: "shop.example".to_owned(),
         path: "/models/x".to_owned(),
--- a/crates/core/tests/views.rs
+++ b/crates/core/tests/views.rs
@@ -27,6 +27,7 @@
         slots: 6,
         draining: false,
         started_ms,
+        spot: false,
         software: String::new(),
         models: Vec::new(),
     }
@@ -311,6 +312,7 @@
         sample_ttl: None,
         max_attempts: 1,
         priority: 0,
+        is_public: false,
         resumable: false,
         single_version: false,
         targets: vec![Target { service: service.to_owned(), weight: 1 }],
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -24,6 +24,7 @@
         slots: 8,
         draining: false,
         started_ms: 1,
+        spot: false,
         software: String::new(),
         models: models().into_iter().map(held).collect(),
     }
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -3,9 +3,11 @@
 //! It runs on one thread: a current-thread tokio runtime does the I/O, and stakker actors make the
 //! decisions on jobs and weights between batches of its events.
 
+mod access;
 mod body;
 mod cleanup;
 mod clock;
+mod duties;
 mod entry;
 mod feeds;
 mod forward;
@@ -29,6 +31,7 @@
 mod stream;
 mod streams;
 mod submissions;
+mod usage;
 mod weights;
 
 use std::{
@@ -51,6 +54,7 @@
 };
 
 use self::{
+    duties::DutyActor,
     node::{Actors, Node},
     runner::Runner,
     server::ListenerKind,
@@ -154,6 +158,7 @@
     tokio::task::spawn_local(permits::run(Rc::clone(&node)));
     tokio::task::spawn_local(origins::run(Rc::clone(&node)));
     tokio::task::spawn_local(paths::run(Rc::clone(&node)));
+    usage::start(&node);
     info!(host = config.host.as_str(), zone = config.zone.as_str(), front:% = config.front, store:% = config.store; "started");
     tokio::task::spawn_local(reload::watch(Rc::clone(&node), changed));
     terminate.recv().await;
@@ -165,18 +170,20 @@
     let mut stakker = Stakker::new(Instant::now());
     let s = &mut stakker;
     let runner = actor!(s, Runner::init(Rc::clone(node)), ret_nop!());
+    let duty_holder = actor!(s, DutyActor::init(Rc::clone(node)), ret_nop!());
     let weight_controller = actor!(s, WeightActor::init(Rc::clone(node)), ret_nop!());
     let wake = Rc::new(Notify::new());
     let actors = Actors {
         deferrer: s.deferrer(),
         wake: Rc::clone(&wake),
         runner: runner.clone(),
+        duty_holder: duty_holder.clone(),
         weight_controller: weight_controller.clone(),
     };
     drop(node.actors.set(actors));
     tokio::task::spawn_local(async move {
         // The owning references keep the actors alive while this task runs.
-        let _owners = (runner, weight_controller);
+        let _owners = (runner, duty_holder, weight_controller);
         loop {
             stakker.run(Instant::now(), false);
             let wait = stakker.next_wait_max(Instant::now(), MAX_ACTOR_WAIT, false);
@@ -197,7 +204,7 @@
     node.exit_at.set(Some(exit_at));
     info!(inflight = node.in_flight.get(); "stopping");
     node.stop.notify_waiters();
-    node.with_weight_controller(|controller, cx| controller.release(cx));
+    node.with_duty_holder(|holder, cx| holder.release(cx));
     hand_over_jobs(node).await;
     loop {
         sleep(STOP_CHECK_INTERVAL).await;
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -20,12 +20,14 @@
 use tokio::time::timeout;
 
 use super::{
+    access::{self, JobSender},
     body::{full_response, DurationGuard, InFlightGuard, ResponseBody},
     clock,
     forward::{self, header_text, Arrival},
     hold::{Hold, Upload, UploadError},
     node::Node,
-    responses, submissions,
+    responses,
+    submissions::{self, Submission},
 };
 
 /// Time for which callers may cache a response of the directory.
@@ -56,7 +58,7 @@
     if let Some(api_request) = api_request {
         return full_response(handle_api_request(&node, api_request, &req).await);
     }
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
     let Some(desired) = node.desired() else {
         return full_response(close_connection(responses::not_run(
             "no desired state is known yet",
@@ -65,7 +67,7 @@
     let body = read_body(&node, body, desired.limits.body_bytes);
     match timeout(request_timeout(&head.headers), body).await {
         // The bytes are held until the response is known.
-        Ok(Ok((body, _hold))) => route(&node, &head, body).await,
+        Ok(Ok((body, _hold))) => route(&node, &mut head, body).await,
         Ok(Err(UploadError::TooLarge)) => {
             full_response(responses::error(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
         }
@@ -143,14 +145,19 @@
         ApiRequest::Ready => ready(node),
         ApiRequest::Entries { zone } => entries(node, &zone),
         ApiRequest::Results { job, after, wait_ms } => {
+            let sender = JobSender::new(node, req.headers());
             let wait = Duration::from_millis(wait_ms).min(left.saturating_sub(MIN_API_TIME));
-            submissions::with_timeout(timeout, submissions::results(node, &job, after, wait)).await
+            let results = submissions::results(node, &job, sender, after, wait);
+            submissions::with_timeout(timeout, results).await
         }
         ApiRequest::SampleBody { job, sample } => {
-            submissions::with_timeout(timeout, submissions::sample_body(node, &job, &sample)).await
+            let sender = JobSender::new(node, req.headers());
+            let body = submissions::sample_body(node, &job, sender, &sample);
+            submissions::with_timeout(timeout, body).await
         }
         ApiRequest::EndJob { job } => {
-            submissions::with_timeout(timeout, submissions::end(node, &job)).await
+            let sender = JobSender::new(node, req.headers());
+            submissions::with_timeout(timeout, submissions::end(node, &job, sender)).await
         }
     }
 }
@@ -197,20 +204,25 @@
     told.insert(zone.to_owned(), addresses.to_vec());
 }
 
-async fn route(node: &Rc<Node>, head: &request::Parts, body: Bytes) -> Response<ResponseBody> {
+async fn route(node: &Rc<Node>, head: &mut request::Parts, body: Bytes) -> Response<ResponseBody> {
     let Some(desired) = node.desired() else {
         return full_response(responses::not_run("no desired state is known yet"));
     };
-    let host = header_text(&head.headers, &header::HOST);
-    let path = head.uri.path();
-    let id = header_text(&head.headers, &headers::ATTEMPT);
-    let Some(route) = desired.route(host, path) else {
-        info!(request = id, host, path, version = desired.version; "no_route");
+    let (id, host) =
+        (header_text(&head.headers, &headers::ATTEMPT), header_text(&head.headers, &header::HOST));
+    let Some(route) = desired.route(host, head.uri.path()) else {
+        info!(request = id, host, path = head.uri.path(), version = desired.version; "no_route");
         return full_response(responses::error(
             StatusCode::NOT_FOUND,
             "no route takes this host and path",
         ));
     };
+    if let Err(refusal) = access::admit(node, &desired, route, head) {
+        return full_response(refusal);
+    }
+    let head = &*head;
+    let (id, host) =
+        (header_text(&head.headers, &headers::ATTEMPT), header_text(&head.headers, &header::HOST));
     if let Some(left) = node.time_to_exit() {
         let late = late_request(node, route, head);
         if !late.can_end(left) {
@@ -223,9 +235,11 @@
     }
     let duration = DurationGuard::new(node, &route.name);
     if route.kind == RouteKind::Job {
+        let path = head.uri.path();
         let target = head.uri.path_and_query().map_or(path, |target| target.as_str());
         let timeout = route.timeout.unwrap_or(DEFAULT_TIMEOUT).min(request_timeout(&head.headers));
-        let accept = submissions::accept(node, route, id, host, target, body);
+        let submission = Submission { id, host, path: target, account: access::account(head) };
+        let accept = submissions::accept(node, route, submission, body);
         let response = full_response(submissions::with_timeout(timeout, accept).await);
         return response.map(|body| body.with_duration(duration));
     }
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -3,6 +3,8 @@
 use std::{rc::Rc, time::Duration};
 
 use buckthornfall_core::{
+    accounts::Accounts,
+    desired::Desired,
     readiness::Table,
     store::{FeedEnd, RowKey, RowPage, RowVersion, StoredRow},
     Now,
@@ -22,6 +24,11 @@
 pub const FEED_INTERVAL: Duration = Duration::from_millis(25);
 /// Minimum interval between two polls of the table of servers, whose entries change constantly.
 const SERVER_FEED_INTERVAL: Duration = Duration::from_millis(120);
+/// Time for which the store holds a long-poll request for changes of a table.
+const LONG_POLL: Duration = Duration::from_millis(1_000);
+/// The same for the operator's table where keys that are taken away must be refused in time: each reply
+/// confirms the known keys.
+const CONFIRMING_LONG_POLL: Duration = Duration::from_millis(400);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -40,6 +47,13 @@
     }
 }
 
+fn long_poll(node: &Node, table: Table) -> Duration {
+    match table {
+        Table::Operator if node.settings().revocation.is_some() => CONFIRMING_LONG_POLL,
+        _ => LONG_POLL,
+    }
+}
+
 /// Starts following the changes of all tables.
 pub fn start(node: &Rc<Node>) {
     for table in Table::ALL {
@@ -58,7 +72,7 @@
             continue;
         };
         let sent_at = clock::now();
-        match node.store.feed(table_name(table), version).await {
+        match node.store.feed(table_name(table), version, long_poll(&node, table)).await {
             FeedEnd::Changes(page) => {
                 after = Some(page.version.max(version));
                 node.members.borrow_mut().on_contact(clock::now());
@@ -95,8 +109,10 @@
 }
 
 fn on_view(node: &Node, table: Table, sent_at: Now) {
-    if table == Table::Fleet {
-        node.origins.borrow_mut().on_view(sent_at);
+    match table {
+        Table::Fleet => node.origins.borrow_mut().on_view(sent_at),
+        Table::Operator => node.key_freshness.borrow_mut().on_read(sent_at),
+        Table::Servers => {}
     }
 }
 
@@ -132,13 +148,10 @@
 fn on_operator_row(node: &Rc<Node>, row: &StoredRow) {
     let Some(value) = &row.value else { return };
     if row.key.key == deployment::DESIRED_KEY {
-        match deployment::desired(value) {
-            Ok(desired) => {
-                let (version, routes) = (desired.version, desired.routes.len());
-                if node.desired.borrow_mut().install(desired) {
-                    info!(version, routes, row_version = row.version; "desired_state_installed");
-                }
-            }
+        let desired = deployment::desired(value);
+        node.key_freshness.borrow_mut().on_desired_state(desired.is_ok());
+        match desired {
+            Ok(desired) => install(node, desired, row.version),
             Err(e) => warn!(row_version = row.version, error:% = e; "desired_state_unreadable"),
         }
     } else if let Some(model) = deployment::model_of_version_key(&row.key.key) {
@@ -157,6 +170,19 @@
     }
 }
 
+fn install(node: &Node, desired: Desired, row_version: RowVersion) {
+    let (version, routes) = (desired.version, desired.routes.len());
+    let keys = desired.accounts.as_ref().map(Accounts::keys);
+    let problems = desired.problems.clone();
+    if !node.desired.borrow_mut().install(desired) {
+        return;
+    }
+    info!(version, routes, keys:? = keys, row_version; "desired_state_installed");
+    for problem in problems {
+        warn!(version, problem; "desired_state_problem");
+    }
+}
+
 fn on_server_row(node: &Rc<Node>, row: &StoredRow) {
     let id = &row.key.key;
     let now = clock::now();
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -20,6 +20,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::{
+    access,
     body::{full_response, BodyEnd, PartialBody, Relay, ResponseBody},
     clock,
     hold::{Hold, Pieces},
@@ -29,6 +30,7 @@
     permits::{self, Permit, Verification, VerifyError},
     responses,
     streams::{self, Choice, Scope, Start},
+    usage::{self, Counted},
 };
 
 /// Timeout of connecting to a server.
@@ -143,7 +145,7 @@
         Err(reason) => return full_response(responses::not_run(reason)),
     };
     let (service, scope) = (scoped.service, scoped.scope);
-    let class = PermitClass::caller(route.priority);
+    let class = PermitClass::caller(access::priority(route, head));
     // Servers that were tried, or whose request limit does not admit the request.
     let mut excluded: Vec<ServerId> = Vec::new();
     let mut tries = 0;
@@ -222,15 +224,29 @@
         tries += 1;
         let is_last = runs + 1 >= max_runs;
         let is_sent = Cell::new(false);
+        let counted = Cell::new(None);
         let (body, scope) = (&body, &scope);
-        let req = CallerRequest { route, head, body, scope, is_last, is_sent: &is_sent };
+        let req = CallerRequest {
+            route,
+            head,
+            body,
+            scope,
+            is_last,
+            is_sent: &is_sent,
+            counted: &counted,
+        };
         let end = attempt(node, req, permit, deadline).await;
         let (outcome, next) = match end {
             AttemptOutcome::Response(response) => {
                 node.suspects.borrow_mut().on_answer(request_fingerprint);
                 ("answered".to_owned(), Some(response))
             }
-            AttemptOutcome::NotRun(reason) => (reason, None),
+            AttemptOutcome::NotRun(reason) => {
+                if let Some(counted) = counted.take() {
+                    usage::take_back(node, head, counted);
+                }
+                (reason, None)
+            }
             AttemptOutcome::Unreachable(reason) => {
                 path_failures += 1;
                 (reason, None)
@@ -266,7 +282,8 @@
     let status = response.status().as_u16();
     metrics::counter!("requests_total", "route" => route.name.clone(), "status" => status.to_string())
         .increment(1);
-    info!(request = id.as_str(), route = route.name.as_str(), status, tries, runs,
+    let account = access::account(head).map(|account| account.name.as_str());
+    info!(request = id.as_str(), route = route.name.as_str(), account:? = account, status, tries, runs,
         took_ms = took.as_millis() as u64; "request_answered");
     response
 }
@@ -334,6 +351,8 @@
     is_last: bool,
     /// Whether any part of the request was sent to the server of this attempt.
     is_sent: &'a Cell<bool>,
+    /// The request in the usage of its client account, once it is sent.
+    counted: &'a Cell<Option<Counted>>,
 }
 
 async fn attempt(
@@ -396,6 +415,9 @@
         Ok(Err(ExchangeError::Http(e))) => {
             if e.is_stale_connection() {
                 guard.end(Ended::Cancelled);
+                if let Some(counted) = req.counted.take() {
+                    usage::take_back(node, req.head, counted);
+                }
                 return AttemptOutcome::failed(e);
             }
             guard.end(Ended::Failed);
@@ -457,7 +479,7 @@
     permit: Permit,
     remaining: Duration,
 ) -> Result<(Response<Received>, Connection), ExchangeError> {
-    let CallerRequest { route, head, body, scope, is_sent, .. } = req;
+    let CallerRequest { route, head, body, scope, is_sent, counted, .. } = req;
     let (server, permitted_at) = (permit.server().clone(), permit.sent_at());
     let connect_timeout = CONNECT_TIMEOUT.min(remaining);
     let (mut conn, sent_at) = match scope {
@@ -466,7 +488,7 @@
             let verification = Verification {
                 connect_timeout,
                 report_timeout: REPORT_TIMEOUT,
-                class: PermitClass::caller(route.priority),
+                class: PermitClass::caller(access::priority(route, head)),
                 patience: max_permit_patience(route, remaining),
             };
             node.servers.get_verified(node, permit, verification).await?
@@ -483,6 +505,7 @@
         message.headers_mut().entry(headers::PRIORITY).or_insert(RESUME_PRIORITY);
     }
     is_sent.set(true);
+    counted.set(usage::count(node, head, node.location.round_trip(&server.zone) / 2));
     let response = conn.send(message).await?;
     node.on_response(&server.id, server.started_ms, sent_at, &response);
     let is_streaming = route.kind == RouteKind::Stream && response.status() == StatusCode::OK;
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -8,8 +8,10 @@
 };
 
 use buckthornfall_core::{
+    accounts::KeyFreshness,
     backends::{Backend, Backends, Location, ServerQuery},
     desired::{Desired, InForce},
+    duties::Duties,
     held_bytes::HeldBytes,
     job::JobId,
     members::Members,
@@ -20,6 +22,7 @@
     stop::Durations,
     store::{RowKey, RowVersion, StoreTx, TxEnd},
     suspects::Suspects,
+    usage::Tally,
     weights::Plan,
     Now,
 };
@@ -37,6 +40,7 @@
 
 use super::{
     clock,
+    duties::{DutyActor, DutyClient},
     origins::Records,
     paths,
     permits::{self, ServerClient},
@@ -61,6 +65,7 @@
     pub deferrer: Deferrer,
     pub wake: Rc<Notify>,
     pub runner: Actor<Runner>,
+    pub duty_holder: Actor<DutyActor>,
     pub weight_controller: Actor<WeightActor>,
 }
 
@@ -85,6 +90,13 @@
     pub servers: ServerClient,
     pub metrics: PrometheusHandle,
     pub desired: RefCell<InForce>,
+    /// How recent the keys of the desired state are.
+    pub key_freshness: RefCell<KeyFreshness>,
+    /// The lease on the duties, as this daemon holds it.
+    pub duties: RefCell<Duties>,
+    pub duty_client: DutyClient,
+    /// Requests that servers began, by client account.
+    pub tally: RefCell<Tally>,
     pub backends: RefCell<Backends>,
     pub members: RefCell<Members>,
     pub suspects: RefCell<Suspects>,
@@ -145,6 +157,10 @@
             servers: ServerClient::default(),
             metrics,
             desired: RefCell::default(),
+            key_freshness: RefCell::default(),
+            duties: RefCell::default(),
+            duty_client: DutyClient::default(),
+            tally: RefCell::default(),
             backends: RefCell::default(),
             suspects: RefCell::default(),
             origins: RefCell::default(),
@@ -227,6 +243,15 @@
         actors.defer(&actors.runner, f);
     }
 
+    /// Schedules `f` to run on the holder of the duties' lease, later on the same thread.
+    pub fn with_duty_holder(
+        &self,
+        f: impl FnOnce(&mut DutyActor, &mut stakker::Cx<'_, DutyActor>) + 'static,
+    ) {
+        let Some(actors) = self.actors.get() else { return };
+        actors.defer(&actors.duty_holder, f);
+    }
+
     /// Schedules `f` to run on the weight controller, later on the same thread.
     pub fn with_weight_controller(
         &self,
--- a/crates/daemon/src/hosted/peer_forward.rs
+++ b/crates/daemon/src/hosted/peer_forward.rs
@@ -30,6 +30,7 @@
 use tokio::time::{sleep, timeout, Sleep};
 
 use super::{
+    access,
     body::{full_response, InFlightGuard, RelayError, ResponseBody},
     clock,
     forward::{self, header_text, Arrival},
@@ -247,6 +248,7 @@
             header_map.append(name, value.clone());
         }
     }
+    access::restore_key(req.head, header_map);
     let left = wait.saturating_sub(node.location.round_trip(&peer.zone) / 2);
     let version = node.desired().map_or(0, |desired| desired.version);
     let number =
@@ -397,6 +399,12 @@
     let Some(route) = desired.route(host, head.uri.path()) else {
         return refuse("no route takes this host and path");
     };
+    if let Err(refusal) = access::admit(node, &desired, route, &mut head) {
+        // Another host may know a key that this one does not know yet.
+        let is_unknown = refusal.status() == StatusCode::UNAUTHORIZED;
+        let reason = "this host does not know the key";
+        return full_response(if is_unknown { responses::not_run(reason) } else { refusal });
+    }
     let max_runs = runs_left.and_then(|runs| u32::try_from(runs).ok()).unwrap_or(1);
     forward::forward(node, route, &head, body, Arrival::Peer { max_runs }).await
 }
--- a/crates/daemon/src/hosted/reload.rs
+++ b/crates/daemon/src/hosted/reload.rs
@@ -62,6 +62,8 @@
         lease: next.lease,
         servers_check_fences: next.servers_check_fences,
         result_retention: next.result_retention,
+        revocation: next.revocation,
+        duties: next.duties.clone(),
         entry_ttl_max: next.entry_ttl_max,
         ..current.clone()
     };
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -40,6 +40,8 @@
 pub const ORIGINS: &str = "origins";
 /// Number of partitions of `ORIGINS`; the store runs the transactions of one partition one by one.
 pub const ORIGIN_PARTS: u64 = 4;
+/// Table of the usage of client accounts.
+pub const USAGE: &str = "usage";
 /// Key of the plan.
 pub const PLAN_KEY: &str = "plan";
 
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -34,8 +34,6 @@
 const OBJECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of objects that are read at the same time, for example after the loss of another daemon.
 const MAX_OBJECT_READS: usize = 3;
-/// Time for which the store holds a long-poll request for changes of a table.
-const FEED_LONG_POLL: Duration = Duration::from_millis(1_000);
 /// Timeout of the probe that checks whether the store serves this daemon again.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time allowed for the round trip to the relaying daemon, on top of the timeout of the call.
@@ -172,12 +170,12 @@
         Ok(page.rows.into_iter().find(|row| row.key.key == key.key))
     }
 
-    /// Waits for changes of a table.
-    pub async fn feed(&self, table: &str, after: RowVersion) -> FeedEnd {
-        let wait = u64::try_from(FEED_LONG_POLL.as_millis())
+    /// Waits up to `wait` for changes of a table.
+    pub async fn feed(&self, table: &str, after: RowVersion, wait: Duration) -> FeedEnd {
+        let wait_ms = u64::try_from(wait.as_millis())
             .expect("the long-poll time in milliseconds fits into u64");
-        let req = wire::feed(self.addr.get(), table, after, wait);
-        let reply = self.call(req, FEED_LONG_POLL + CALL_TIMEOUT).await;
+        let req = wire::feed(self.addr.get(), table, after, wait_ms);
+        let reply = self.call(req, wait + CALL_TIMEOUT).await;
         let end = reply.map_or(FeedEnd::Failed, |reply| wire::feed_end(&reply));
         self.record_outcome(!matches!(end, FeedEnd::Failed), "feed");
         if let FeedEnd::Changes(page) = &end {
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use buckthornfall_core::{
+    accounts::AccountName,
     backends::Backend,
     held_bytes::Purpose,
     job::{RunEnd, RunId, SampleSpec},
@@ -47,6 +48,10 @@
     pub job: String,
     pub server: Backend,
     pub host: String,
+    /// Client account that submitted the job.
+    pub account: Option<AccountName>,
+    /// Whether requests need keys; samples then show no other account.
+    pub has_accounts: bool,
     /// Priority of the job's route; 0 is the highest.
     pub priority: u8,
     pub sample: SampleSpec,
@@ -155,9 +160,16 @@
 fn build_request(req: &RunRequest) -> Result<Request<Bytes>, http::Error> {
     let remaining = req.deadline.saturating_sub(clock::now()).as_millis();
     let mut message = Request::post(&req.sample.path);
-    for (name, value) in &req.sample.headers {
+    let is_hidden = |name: &str| {
+        let hidden = [headers::API_KEY, headers::ACCOUNT];
+        req.has_accounts && hidden.iter().any(|hidden| name.eq_ignore_ascii_case(hidden.as_str()))
+    };
+    for (name, value) in req.sample.headers.iter().filter(|(name, _)| !is_hidden(name)) {
         message = message.header(name, value);
     }
+    if let Some(account) = &req.account {
+        message = message.header(headers::ACCOUNT, account);
+    }
     message = message
         .header(header::HOST, &req.host)
         .header(headers::ATTEMPT, &req.sample.id)
--- a/crates/daemon/src/hosted/streams.rs
+++ b/crates/daemon/src/hosted/streams.rs
@@ -23,7 +23,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    clock,
+    access, clock,
     forward::header_text,
     hold::Hold,
     node::Node,
@@ -88,11 +88,11 @@
     // A retry has an id of its own; the service is that of the attempt that began the stream.
     let first = if resumed_stream.is_empty() { id } else { resumed_stream };
     let service = target(route, first);
-    let request = fingerprint(&[
-        header_text(&head.headers, &header::HOST).as_bytes(),
-        header_text(&head.headers, &header::AUTHORIZATION).as_bytes(),
-        body,
-    ]);
+    // An account may resume its streams with another one of its keys.
+    let credentials = header_text(&head.headers, &header::AUTHORIZATION);
+    let sender = access::account(head).map_or(credentials, |account| &account.name);
+    let host = header_text(&head.headers, &header::HOST);
+    let request = fingerprint(&[host.as_bytes(), sender.as_bytes(), body]);
     if !is_resumed {
         let stated = header_text(&head.headers, &headers::DEADLINE).parse().ok();
         let wait = stated.map_or(DEFAULT_RESUME_TIME, Duration::from_millis);
--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use buckthornfall_core::{
+    accounts::Account,
     desired::Route,
     job::{self, JobPolicy, JobSpec, SampleId, Text},
     store::{RowKey, RowVersion, StoreFailure, StoreTx, TxEnd},
@@ -19,7 +20,7 @@
 use rustc_hash::FxHashMap;
 use tokio::time::{sleep, timeout};
 
-use super::{clock, node::Node, responses, rows};
+use super::{access::JobSender, clock, node::Node, responses, rows};
 
 /// Part of a row, as numerator and denominator, that a chunk of a submission may fill, so that its
 /// encoding fits the row.
@@ -43,18 +44,46 @@
 /// Delay after a failed attempt to end a job.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// A job as a caller submits it.
+#[derive(Debug, Clone, Copy)]
+pub struct Submission<'a> {
+    /// Id of the job.
+    pub id: &'a str,
+    /// Host header.
+    pub host: &'a str,
+    /// Path and query.
+    pub path: &'a str,
+    /// Client account that submits it, if its route needs one.
+    pub account: Option<&'a Account>,
+}
+
+impl Submission<'_> {
+    fn account_name(&self) -> Option<&str> {
+        self.account.map(|account| account.name.as_str())
+    }
+
+    /// Responds to the submission of a job that is stored with `row`.
+    fn accepted(&self, row: &JobRow) -> Response<Bytes> {
+        if row.account.as_deref() == self.account_name() {
+            return responses::status(StatusCode::ACCEPTED);
+        }
+        warn!(job = self.id; "job_of_another_account");
+        responses::error(StatusCode::CONFLICT, "the id belongs to another job")
+    }
+}
+
 /// Accepts a job. Responds with 202 only once the whole job is stored.
 pub async fn accept(
     node: &Rc<Node>,
     route: &Arc<Route>,
-    id: &str,
-    host: &str,
-    path: &str,
+    submission: Submission<'_>,
     body: Bytes,
 ) -> Response<Bytes> {
-    if node.jobs.borrow().contains_key(id) {
+    let id = submission.id;
+    let known = node.jobs.borrow().get(id).map(|known| known.row.clone());
+    if let Some(known) = known {
         info!(job = id; "job_known");
-        return responses::status(StatusCode::ACCEPTED);
+        return submission.accepted(&known);
     }
     let spec = match wire::decode_job(&body) {
         Ok(spec) => spec,
@@ -68,13 +97,14 @@
         info!(job = id, silence_ms; "job_refused_without_store");
         return responses::not_run("the store does not answer");
     }
-    let end = write_job(node, id, host, path, &spec, &body).await;
+    let end = write_job(node, submission, &spec, &body).await;
     info!(job = id, route = route.name.as_str(), samples = spec.samples.len(), bytes = body.len(),
         outcome:? = end.as_ref().map(|(row, version)| (row.owner.clone(), *version)); "job_submitted");
     match end {
         Ok((row, version)) => {
+            let response = submission.accepted(&row);
             node.on_job(id, row, version);
-            responses::status(StatusCode::ACCEPTED)
+            response
         }
         Err(StoreFailure::Refused) => responses::not_run("the store refused the job"),
         Err(StoreFailure::Unknown) => {
@@ -85,20 +115,20 @@
 
 async fn write_job(
     node: &Rc<Node>,
-    id: &str,
-    host: &str,
-    path: &str,
+    submission: Submission<'_>,
     spec: &JobSpec,
     body: &Bytes,
 ) -> Result<(JobRow, RowVersion), StoreFailure> {
+    let id = submission.id;
     let digest = format!("{:016x}", fingerprint(&[body]));
     let chunks = write_submission(node, id, &digest, body).await?;
     let owner = node.members.borrow().owner(clock::now(), &spec.model).cloned();
     let row = JobRow {
         state: JobState::Open,
         owner: owner.unwrap_or_else(|| node.settings().host.clone()),
-        host: host.to_owned(),
-        path: path.to_owned(),
+        host: submission.host.to_owned(),
+        account: submission.account_name().map(str::to_owned),
+        path: submission.path.to_owned(),
         accepted_ms: node.store.clock_ms(),
         model: spec.model.clone(),
         min_version: spec.min_version,
@@ -232,11 +262,13 @@
     let desired = node.desired()?;
     let path = row.path.split('?').next().unwrap_or_default();
     let route = desired.route(&row.host, path)?;
+    let account = row.account.as_deref().and_then(|name| desired.accounts.as_ref()?.by_name(name));
+    let account_priority = account.and_then(|account| account.priority);
     let accepted: Now = node.store.to_local(row.accepted_ms);
     Some(JobPolicy {
         service: route.target(fingerprint(&[id.as_bytes()])).clone(),
         max_attempts: route.max_attempts,
-        priority: route.priority,
+        priority: account_priority.unwrap_or(route.priority),
         single_version: route.single_version,
         give_up_at: accepted + route.sample_ttl.unwrap_or(DEFAULT_SAMPLE_TTL) + GIVE_UP_MARGIN,
         accepted,
@@ -254,13 +286,34 @@
     Ok(Some((row, found.version)))
 }
 
+/// Returns the row of a job that its sender may access, or the refusal.
+async fn accessible_job(
+    node: &Rc<Node>,
+    id: &str,
+    sender: JobSender,
+) -> Result<JobRow, Response<Bytes>> {
+    match job_row(node, id).await {
+        Ok(Some((row, _))) => match sender.refusal(row.account.as_deref()) {
+            Some(refusal) => Err(refusal),
+            None => Ok(row),
+        },
+        Ok(None) => Err(sender.not_found()),
+        Err(_) => Err(responses::not_run("the store does not answer")),
+    }
+}
+
 /// Responds with the results of a job from position `after` on. Waits up to `wait` for results if
 /// there are none.
-pub async fn results(node: &Rc<Node>, id: &str, after: usize, wait: Duration) -> Response<Bytes> {
-    let row = match job_row(node, id).await {
-        Ok(Some((row, _))) => row,
-        Ok(None) => return responses::status(StatusCode::NOT_FOUND),
-        Err(_) => return responses::not_run("the store does not answer"),
+pub async fn results(
+    node: &Rc<Node>,
+    id: &str,
+    sender: JobSender,
+    after: usize,
+    wait: Duration,
+) -> Response<Bytes> {
+    let row = match accessible_job(node, id, sender).await {
+        Ok(row) => row,
+        Err(refusal) => return refusal,
     };
     let total = row.samples as usize;
     let wait = wait.min(MAX_RESULTS_WAIT);
@@ -291,11 +344,15 @@
 }
 
 /// Responds with the request body of a sample.
-pub async fn sample_body(node: &Rc<Node>, id: &str, sample: &str) -> Response<Bytes> {
-    let row = match job_row(node, id).await {
-        Ok(Some((row, _))) => row,
-        Ok(None) => return responses::status(StatusCode::NOT_FOUND),
-        Err(_) => return responses::not_run("the store does not answer"),
+pub async fn sample_body(
+    node: &Rc<Node>,
+    id: &str,
+    sender: JobSender,
+    sample: &str,
+) -> Response<Bytes> {
+    let row = match accessible_job(node, id, sender).await {
+        Ok(row) => row,
+        Err(refusal) => return refusal,
     };
     let Some(text) = read_submission(node, id, &row).await else {
         return responses::not_run("the store does not answer");
@@ -309,7 +366,10 @@
 }
 
 /// Ends a job. Responds with 200 only once the end is stored.
-pub async fn end(node: &Rc<Node>, id: &str) -> Response<Bytes> {
+pub async fn end(node: &Rc<Node>, id: &str, sender: JobSender) -> Response<Bytes> {
+    if let Err(refusal) = accessible_job(node, id, sender).await {
+        return refusal;
+    }
     for _ in 0..MAX_WRITE_ATTEMPTS {
         let (row, version) = match job_row(node, id).await {
             Ok(Some(found)) => found,
--- a/crates/daemon/src/hosted/weights.rs
+++ b/crates/daemon/src/hosted/weights.rs
@@ -1,23 +1,18 @@
-//! Actor that holds the weight controller's lease and orders servers to load model versions.
+//! Actor that orders servers to load model versions while this daemon holds the lease on the duties.
 
 use std::{rc::Rc, time::Duration};
 
 use buckthornfall_core::{
     backends::Backend,
-    lease::{Lease, LeaseAction},
     permits::PermitClass,
-    store::{RowKey, StoreFailure, StoreTx, StoredRow, TxEnd},
-    table::{ReadResult, TableError, TxnResult},
-    weights::{
-        Order, OrderEnd, OrderRecord, OrderReport, Plan, WeightAction, WeightController,
-        LEASE_TIMES,
-    },
+    store::{RowKey, StoreTx, StoredRow, TxEnd},
+    weights::{Order, OrderEnd, OrderRecord, OrderReport, Plan, WeightAction, WeightController},
     Now,
 };
 use buckthornfall_platform::servers;
 use buckthornfall_proto::{
     ids::{Fence, HostId, ServerId},
-    messages::{JobRow, OrderRow, Row, Txn, TxnAnswer},
+    messages::{JobRow, OrderRow},
 };
 use bytes::Bytes;
 use http::{Request, Response};
@@ -27,18 +22,14 @@
 use tokio::time::sleep;
 
 use super::{
-    clock,
+    clock, duties,
     http::Error,
     node::Node,
     permits::{self, Denied, Permit},
     rows,
 };
 
-/// Name of the weight controller's lease.
-const LEASE_NAME: &str = "weights";
-/// Number of daemons that compete for the lease.
-const LEASE_CANDIDATES: usize = 3;
-/// Interval between checks of the lease and of due orders.
+/// Interval between checks of due orders.
 const TICK_INTERVAL: Duration = Duration::from_millis(60);
 /// Timeout of a report request or an order to a server.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -55,12 +46,11 @@
 /// Delay before a failed read of the order records is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Weight controller of this daemon, with its view of the lease.
+/// Weight controller of this daemon.
 pub struct WeightActor {
     node: Rc<Node>,
     /// Name of this host in order records.
     host: HostId,
-    lease: Lease,
     weights: WeightController,
     /// Fencing token of the current term, if this daemon holds the lease.
     term: Option<Fence>,
@@ -68,13 +58,9 @@
 
 impl WeightActor {
     pub fn init(cx: CX![], node: Rc<Node>) -> Option<WeightActor> {
-        // A replacement host may reuse the name of its predecessor, but not its address.
-        let host = format!("{}@{}", node.settings().host, node.settings().front);
-        // Every process start is a separate lease holder.
-        let holder = format!("{host}/{:x}", rand::random::<u64>());
-        let lease = Lease::new(LEASE_NAME, &holder, LEASE_TIMES);
+        let host = duties::host_id(&node);
         after!(TICK_INTERVAL, [cx], tick());
-        Some(WeightActor { node, host, lease, weights: WeightController::default(), term: None })
+        Some(WeightActor { node, host, weights: WeightController::default(), term: None })
     }
 
     pub fn on_version_named(&mut self, _: CX![], model: &str, version: u64) {
@@ -90,36 +76,16 @@
         self.weights.on_job(clock::now(), &job.model, job.work, job.min_version);
     }
 
-    /// Releases the lease during a planned stop.
-    pub fn release(&mut self, _: CX![]) {
-        let mut out = Vec::new();
-        self.lease.release(clock::now(), &mut out);
-        self.run_lease_actions(out);
-    }
-
     fn tick(&mut self, cx: CX![]) {
         after!(TICK_INTERVAL, [cx], tick());
-        let now = clock::now();
-        let node = Rc::clone(&self.node);
-        let serving = node.state.get() == buckthornfall_proto::messages::MemberState::Serving;
-        let wants_lease =
-            serving && node.members.borrow().ranks_within(now, LEASE_NAME, LEASE_CANDIDATES);
-        let mut out = Vec::new();
-        if !wants_lease && node.is_cut_off() {
-            self.lease.give_up(now, &mut out);
-        }
-        self.lease.tick(now, wants_lease, &mut out);
-        self.run_lease_actions(out);
         self.advance();
     }
 
     /// Returns the fencing token if orders may be sent now. Starts or ends the term when the lease
     /// changed.
     fn fence(&mut self) -> Option<Fence> {
-        let fence = self.lease.fence(clock::now());
+        let fence = self.node.duties.borrow().lease_fence(clock::now());
         if fence != self.term {
-            metrics::gauge!("weights_lease_held").set(if fence.is_some() { 1.0 } else { 0.0 });
-            info!(fence:? = fence, last:? = self.term; "duty_term");
             self.term = fence;
             self.weights.stop();
             if let Some(fence) = fence {
@@ -232,35 +198,6 @@
             self.run_action(fence, order, permit);
         }
     }
-
-    fn run_lease_actions(&mut self, actions: Vec<LeaseAction>) {
-        for action in actions {
-            let node = Rc::clone(&self.node);
-            let key = RowKey::new(rows::FLEET, "", self.lease.key());
-            match action {
-                LeaseAction::Read => {
-                    tokio::task::spawn_local(async move {
-                        let reply = read_row(&node, &key).await;
-                        node.with_weight_controller(move |actor, _| {
-                            let mut out = Vec::new();
-                            actor.lease.on_read(clock::now(), &reply, &mut out);
-                            actor.run_lease_actions(out);
-                        });
-                    });
-                }
-                LeaseAction::Txn { attempt, txn } => {
-                    tokio::task::spawn_local(async move {
-                        let reply = transact(&node, &key, &txn).await;
-                        node.with_weight_controller(move |actor, _| {
-                            let mut out = Vec::new();
-                            actor.lease.on_txn(clock::now(), &attempt, &reply, &mut out);
-                            actor.run_lease_actions(out);
-                        });
-                    });
-                }
-            }
-        }
-    }
 }
 
 /// Acquires the permits of a report and of the order that may follow it.
@@ -360,32 +297,3 @@
     let end = node.store.transact(&StoreTx::put(vec![(key, value)])).await;
     info!(fence = plan.fence(), outcome:? = end; "plan_saved");
 }
-
-async fn read_row(node: &Node, key: &RowKey) -> ReadResult {
-    let row = node.store.row(key).await.map_err(|_| TableError::NoReply)?;
-    Ok(to_row(key, row))
-}
-
-async fn transact(node: &Node, key: &RowKey, txn: &Txn) -> TxnResult {
-    let value = txn.writes.first().map(|write| write.value.clone()).unwrap_or_default();
-    let version = txn.checks.first().map_or(0, |check| check.version);
-    let tx = StoreTx::replace(key.clone(), version, Bytes::from(value.clone()));
-    match node.store.transact(&tx).await {
-        TxEnd::Committed(version) => {
-            let row = Row { key: key.key.clone(), value, version };
-            Ok(TxnAnswer { committed: true, rows: vec![row] })
-        }
-        TxEnd::Conflict(rows) => {
-            let row = rows.into_iter().find(|row| row.key.key == key.key);
-            Ok(TxnAnswer { committed: false, rows: vec![to_row(key, row)] })
-        }
-        TxEnd::Failed(StoreFailure::Refused) => Err(TableError::NotSent),
-        TxEnd::Failed(StoreFailure::Unknown) => Err(TableError::NoReply),
-    }
-}
-
-fn to_row(key: &RowKey, row: Option<StoredRow>) -> Row {
-    let version = row.as_ref().filter(|row| row.value.is_some()).map_or(0, |row| row.version);
-    let value = row.and_then(|row| row.value).unwrap_or_default();
-    Row { key: key.key.clone(), value: String::from_utf8_lossy(&value).into_owned(), version }
-}
--- a/crates/proto/src/digest.rs
+++ b/crates/proto/src/digest.rs
@@ -5,6 +5,14 @@
 
 use crate::ids::Fingerprint;
 
+/// A SHA-256 digest.
+pub type Sha256Digest = [u8; 32];
+
+/// Returns the SHA-256 of `bytes`.
+pub fn sha256(bytes: &[u8]) -> Sha256Digest {
+    Sha256::digest(bytes).into()
+}
+
 /// Returns the SHA-256 of `bytes` as 64 hexadecimal digits.
 pub fn sha256_hex(bytes: &[u8]) -> String {
     Sha256::digest(bytes).iter().map(|b| format!("{b:02x}")).collect()
