--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -126,6 +126,9 @@
         metrics::gauge!("service_silence_seconds", "service" => service.clone())
             .set(silence.as_secs_f64());
     }
+    if let Some(age) = node.key_freshness.borrow().age(now) {
+        metrics::gauge!("keys_age_seconds").set(age.as_secs_f64());
+    }
     node.metrics.run_upkeep();
     full_response(Response::new(Bytes::from(node.metrics.render())))
 }
--- a/crates/daemon/src/hosted/usage.rs
+++ b/crates/daemon/src/hosted/usage.rs
@@ -34,6 +34,8 @@
 const ACCOUNTS_PER_ROW: usize = 500;
 /// Maximum number of rows removed in one transaction.
 const MAX_REMOVED_ROWS: usize = 90;
+/// Number of windows before the current one that are still reported after a long time without any daemon.
+const MAX_LATE_WINDOWS: Window = 360;
 /// Partition of the totals and of the cursor.
 const TOTALS: &str = "totals";
 /// Number of partitions of the daemons' counts.
@@ -163,10 +165,13 @@
     Some(Cursor { next, version: row.version })
 }
 
-/// Reads the cursor. At the first start of all, reports begin with the current window.
+/// Reads the cursor. At the first start of all, reports begin with the current window; after a long time
+/// without any daemon, with the last windows before it.
 async fn read_cursor(node: &Node, times: ReportTimes) -> Option<Cursor> {
     if let Some(row) = node.store.row(&cursor_key()).await.ok()? {
-        return decode_cursor(&row);
+        let oldest = usage::window_at(since_epoch(), times.window).saturating_sub(MAX_LATE_WINDOWS);
+        return decode_cursor(&row)
+            .map(|cursor| Cursor { next: cursor.next.max(oldest), ..cursor });
     }
     let next = usage::window_at(since_epoch(), times.window);
     move_cursor(node, 0, next).await
