--- a/crates/daemon/src/hosted/access.rs
+++ b/crates/daemon/src/hosted/access.rs
@@ -22,13 +22,16 @@
     key: Option<HeaderValue>,
 }
 
-/// Returns the account of a request's key; `None` if no key is needed. The response is a refusal.
+/// Response to a request that is refused for want of a key.
+pub type Refusal = Box<Response<Bytes>>;
+
+/// Returns the account of a request's key; `None` if no key is needed.
 pub fn authenticate(
     node: &Node,
     desired: &Desired,
     header_map: &HeaderMap,
     is_public: bool,
-) -> Result<Option<Arc<Account>>, Response<Bytes>> {
+) -> Result<Option<Arc<Account>>, Refusal> {
     let Some(accounts) = &desired.accounts else { return Ok(None) };
     let freshness = node.key_freshness.borrow();
     let revocation = node.settings().revocation;
@@ -48,10 +51,11 @@
     info!(request = header_text(header_map, &headers::ATTEMPT), host = header_text(header_map, &header::HOST), reason,
         desired_version = desired.version, keys_age_ms:? = freshness.age(now).map(|age| age.as_millis() as u64);
         "request_denied");
-    Err(match denied {
+    let response = match denied {
         Denied::UnknownKey => responses::error(StatusCode::UNAUTHORIZED, &denied.to_string()),
         Denied::Stale => responses::not_run(&denied.to_string()),
-    })
+    };
+    Err(Box::new(response))
 }
 
 /// Authenticates a request for a route. Its key is removed, and its account is set, as servers are to
@@ -61,7 +65,7 @@
     desired: &Desired,
     route: &Route,
     head: &mut request::Parts,
-) -> Result<(), Response<Bytes>> {
+) -> Result<(), Refusal> {
     if desired.accounts.is_none() {
         return Ok(());
     }
@@ -101,7 +105,7 @@
     /// The owner of a key.
     Account(Arc<Account>),
     /// The request has no valid key; it may concern only jobs of public routes.
-    Denied(Response<Bytes>),
+    Denied(Refusal),
 }
 
 impl JobSender {
@@ -117,11 +121,11 @@
 
     /// Returns the refusal of a request about a job of the client account `job`, if it is refused. Jobs
     /// of other accounts do not exist for the sender.
-    pub fn refusal(self, job: Option<&str>) -> Option<Response<Bytes>> {
+    pub fn refusal(self, job: Option<&str>) -> Option<Refusal> {
         match self {
             JobSender::Anyone => None,
             JobSender::Account(account) => (!may_access_job(job, Some(&account)))
-                .then(|| responses::status(StatusCode::NOT_FOUND)),
+                .then(|| Box::new(responses::status(StatusCode::NOT_FOUND))),
             JobSender::Denied(refusal) => (!may_access_job(job, None)).then_some(refusal),
         }
     }
@@ -129,7 +133,7 @@
     /// Returns the response to a request about a job that does not exist.
     pub fn not_found(self) -> Response<Bytes> {
         match self {
-            JobSender::Denied(refusal) => refusal,
+            JobSender::Denied(refusal) => *refusal,
             JobSender::Anyone | JobSender::Account(_) => responses::status(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -221,7 +221,7 @@
         ));
     };
     if let Err(refusal) = access::admit(node, &desired, route, head) {
-        return full_response(refusal);
+        return full_response(*refusal);
     }
     let head = &*head;
     let (id, host) =
--- a/crates/daemon/src/hosted/peer_forward.rs
+++ b/crates/daemon/src/hosted/peer_forward.rs
@@ -403,7 +403,7 @@
         // Another host may know a key that this one does not know yet.
         let is_unknown = refusal.status() == StatusCode::UNAUTHORIZED;
         let reason = "this host does not know the key";
-        return full_response(if is_unknown { responses::not_run(reason) } else { refusal });
+        return full_response(if is_unknown { responses::not_run(reason) } else { *refusal });
     }
     let max_runs = runs_left.and_then(|runs| u32::try_from(runs).ok()).unwrap_or(1);
     forward::forward(node, route, &head, body, Arrival::Peer { max_runs }).await
--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -20,7 +20,12 @@
 use rustc_hash::FxHashMap;
 use tokio::time::{sleep, timeout};
 
-use super::{access::JobSender, clock, node::Node, responses, rows};
+use super::{
+    access::{JobSender, Refusal},
+    clock,
+    node::Node,
+    responses, rows,
+};
 
 /// Part of a row, as numerator and denominator, that a chunk of a submission may fill, so that its
 /// encoding fits the row.
@@ -287,18 +292,14 @@
 }
 
 /// Returns the row of a job that its sender may access, or the refusal.
-async fn accessible_job(
-    node: &Rc<Node>,
-    id: &str,
-    sender: JobSender,
-) -> Result<JobRow, Response<Bytes>> {
+async fn accessible_job(node: &Rc<Node>, id: &str, sender: JobSender) -> Result<JobRow, Refusal> {
     match job_row(node, id).await {
         Ok(Some((row, _))) => match sender.refusal(row.account.as_deref()) {
             Some(refusal) => Err(refusal),
             None => Ok(row),
         },
-        Ok(None) => Err(sender.not_found()),
-        Err(_) => Err(responses::not_run("the store does not answer")),
+        Ok(None) => Err(Box::new(sender.not_found())),
+        Err(_) => Err(Box::new(responses::not_run("the store does not answer"))),
     }
 }
 
@@ -313,7 +314,7 @@
 ) -> Response<Bytes> {
     let row = match accessible_job(node, id, sender).await {
         Ok(row) => row,
-        Err(refusal) => return refusal,
+        Err(refusal) => return *refusal,
     };
     let total = row.samples as usize;
     let wait = wait.min(MAX_RESULTS_WAIT);
@@ -352,7 +353,7 @@
 ) -> Response<Bytes> {
     let row = match accessible_job(node, id, sender).await {
         Ok(row) => row,
-        Err(refusal) => return refusal,
+        Err(refusal) => return *refusal,
     };
     let Some(text) = read_submission(node, id, &row).await else {
         return responses::not_run("the store does not answer");
@@ -368,7 +369,7 @@
 /// Ends a job. Responds with 200 only once the end is stored.
 pub async fn end(node: &Rc<Node>, id: &str, sender: JobSender) -> Response<Bytes> {
     if let Err(refusal) = accessible_job(node, id, sender).await {
-        return refusal;
+        return *refusal;
     }
     for _ in 0..MAX_WRITE_ATTEMPTS {
         let (row, version) = match job_row(node, id).await {
