Bytes as a limit: slow readers on both sides, and bodies on their way to a server

Callers saw long responses cut off in the middle: a daemon held the first 9 MiB of a response and read nothing more from its server until the caller had taken them, and servers cut off what remains unread. Servers were sent as many long bodies at once as they have slots. A server that stopped reading one kept its share of the budget until the caller's deadline. The buffers of callers' connections grew without a limit, outside the account.

A task reads a long response on as its caller takes what is held, up to half of the budget of responses. At most the maximum size of a body is on its way from a daemon to one server (core::server_bytes); a further one goes to another server, waits 700 ms or is refused as not run. A server that reads nothing of a body for 2 s fails the attempt. Bodies are in the account until they are sent, also when the response came first. The kernel's buffers do not grow, and as many bodies wait for the budget as fit into a sixteenth of the memory limit. Short bodies go the same way as before.

Ruled out: files for what does not fit, as they count as memory, and a limit on the size of responses. Open: bodies up to 64 KiB are not in the account, and the bytes on their way to a server are those of one daemon.

--- a/crates/core/src/held_bytes.rs
+++ b/crates/core/src/held_bytes.rs
@@ -4,6 +4,8 @@
 //! without end, exceed the memory of a host. Each purpose has a share of its own, so that one does not
 //! use up what the others need.
 
+use crate::server_bytes::SHORT_BODY_BYTES;
+
 /// What bytes are held for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
@@ -38,6 +40,14 @@
     }
 }
 
+/// Part of the memory limit, as a divisor, for what lies in the buffers of bodies that wait.
+const WAITING_DIVISOR: usize = 16;
+/// Bytes of a body that waits for the budget: as much of it as is not counted, and as much again in the
+/// buffer of its connection.
+const WAITING_BODY_BYTES: usize = 2 * SHORT_BODY_BYTES;
+/// Part of the share of responses that one of them may take up while its caller reads slowly, as a divisor.
+const READ_AHEAD_DIVISOR: usize = 2;
+
 /// Bytes held for each purpose.
 ///
 /// Invariant: the bytes of a purpose exceed its share only while one body alone does.
@@ -45,13 +55,17 @@
 pub struct HeldBytes {
     shares: [usize; Purpose::ALL.len()],
     held: [usize; Purpose::ALL.len()],
+    /// Bodies that wait for the budget.
+    waiting: usize,
+    max_waiting: usize,
 }
 
 impl HeldBytes {
     /// Creates the budget of a process that may use `memory_bytes`.
     pub fn new(memory_bytes: usize) -> HeldBytes {
         let shares = Purpose::ALL.map(|purpose| memory_bytes / purpose.divisor());
-        HeldBytes { shares, held: [0; Purpose::ALL.len()] }
+        let max_waiting = memory_bytes / WAITING_DIVISOR / WAITING_BODY_BYTES;
+        HeldBytes { shares, held: [0; Purpose::ALL.len()], waiting: 0, max_waiting }
     }
 
     /// Changes what one body holds from `current` to `wanted` bytes. Returns whether the budget allows
@@ -66,6 +80,23 @@
         true
     }
 
+    /// Counts a body that waits for the budget. Returns false if too many wait: it is refused at once.
+    pub fn start_wait(&mut self) -> bool {
+        let may_wait = self.waiting < self.max_waiting;
+        self.waiting += usize::from(may_wait);
+        may_wait
+    }
+
+    /// Ends the count of a body that waited.
+    pub fn end_wait(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// Returns the bytes up to which one response is read ahead of its caller.
+    pub fn read_ahead_limit(&self) -> usize {
+        self.share(Purpose::Responses) / READ_AHEAD_DIVISOR
+    }
+
     /// Returns the bytes held for a purpose.
     pub fn held(&self, purpose: Purpose) -> usize {
         self.held[purpose as usize]
--- a/crates/daemon/src/hosted/body.rs
+++ b/crates/daemon/src/hosted/body.rs
@@ -19,7 +19,10 @@
 use snafu::{ResultExt, Snafu};
 use tokio::time::{sleep, Sleep};
 
-use super::{clock, hold::Pieces, http::Connection, node::Node, paths, peer_forward::PeerBody};
+use super::{
+    clock, hold::Pieces, http::Connection, node::Node, paths, peer_forward::PeerBody,
+    read_ahead::ReadAhead,
+};
 
 /// Counts a request of a caller as in flight until the response has been passed to its connection
 /// in full.
@@ -171,11 +174,21 @@
     }
 }
 
+/// Where the rest of a relayed response comes from.
+enum Rest {
+    /// An event stream, read at the pace of its caller: its events are few and short.
+    Events {
+        /// What was received before the relay started, until it is passed on.
+        start: Pieces,
+        body: Incoming,
+    },
+    /// Any other response, read ahead of the caller.
+    Ahead(ReadAhead),
+}
+
 /// Body of a server's response that is relayed to the caller.
 pub struct Relay {
-    /// What was received before the relay started, until it is passed on.
-    start: Pieces,
-    body: Incoming,
+    rest: Rest,
     end: BodyEnd,
     conn: Option<Connection>,
     node: Rc<Node>,
@@ -283,16 +296,41 @@
     ) -> Relay {
         let deadline = Box::pin(sleep(until.saturating_sub(clock::now())));
         let PartialBody { start, body, end } = response;
-        Relay { start, body, end, conn: Some(conn), node: Rc::clone(node), server, deadline }
+        let rest = match end {
+            BodyEnd::Framed => Rest::Ahead(ReadAhead::start(node, &server.service, start, body)),
+            BodyEnd::BetweenEvents { .. } => Rest::Events { start, body },
+        };
+        Relay { rest, end, conn: Some(conn), node: Rc::clone(node), server, deadline }
     }
 
     /// Returns the size of the rest if the server has stated it and it shows the end.
     fn rest_bytes(&self) -> Option<u64> {
-        if !matches!(self.end, BodyEnd::Framed) {
-            return None;
+        match &self.rest {
+            Rest::Events { .. } => None,
+            Rest::Ahead(rest) => rest.rest_bytes(),
+        }
+    }
+
+    fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, RelayError>>> {
+        let (start, body) = match &mut self.rest {
+            Rest::Ahead(rest) => {
+                return rest
+                    .poll_piece(cx)
+                    .map(|piece| piece.map(|data| data.context(ServerSnafu)));
+            }
+            Rest::Events { start, body } => (start, body),
+        };
+        if let Some(piece) = start.pop() {
+            return Poll::Ready(Some(Ok(piece)));
         }
-        let start = u64::try_from(self.start.len()).ok()?;
-        Some(self.body.size_hint().exact()? + start)
+        while let Some(frame) = ready!(Pin::new(&mut *body).poll_frame(cx)) {
+            let frame = frame.context(ServerSnafu)?;
+            if let Ok(data) = frame.into_data() {
+                paths::on_response(&self.node, &self.server.service);
+                return Poll::Ready(Some(Ok(data)));
+            }
+        }
+        Poll::Ready(None)
     }
 
     fn poll_frame(
@@ -302,19 +340,12 @@
         if self.deadline.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Some(DeadlineExceededSnafu.fail()));
         }
-        if let Some(piece) = self.start.pop() {
-            self.end.push(&piece);
-            return Poll::Ready(Some(Ok(Frame::data(piece))));
-        }
-        match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
-            Some(Ok(frame)) => {
-                if let Some(data) = frame.data_ref() {
-                    paths::on_response(&self.node, &self.server.service);
-                    self.end.push(data);
-                }
-                Poll::Ready(Some(Ok(frame)))
+        match ready!(self.poll_piece(cx)) {
+            Some(Ok(data)) => {
+                self.end.push(&data);
+                Poll::Ready(Some(Ok(Frame::data(data))))
             }
-            Some(Err(e)) => Poll::Ready(Some(Err(e).context(ServerSnafu))),
+            Some(Err(e)) => Poll::Ready(Some(Err(e))),
             None => {
                 if let Err(e) = self.end.check() {
                     return Poll::Ready(Some(Err(e)));
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -24,7 +24,7 @@
     body::{full_response, DurationGuard, InFlightGuard, ResponseBody},
     clock,
     forward::{self, header_text, Arrival},
-    hold::{Hold, Upload, UploadError},
+    hold::{HeldBody, Upload, UploadError},
     node::Node,
     responses,
     submissions::{self, Submission},
@@ -66,8 +66,7 @@
     };
     let body = read_body(&node, body, desired.limits.body_bytes);
     match timeout(request_timeout(&head.headers), body).await {
-        // The bytes are held until the response is known.
-        Ok(Ok((body, _hold))) => route(&node, &mut head, body).await,
+        Ok(Ok(body)) => route(&node, &mut head, body).await,
         Ok(Err(UploadError::TooLarge)) => {
             full_response(responses::error(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
         }
@@ -92,7 +91,7 @@
     node: &Rc<Node>,
     mut body: Incoming,
     max_bytes: usize,
-) -> Result<(Bytes, Hold), UploadError> {
+) -> Result<HeldBody, UploadError> {
     let stated = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
     let mut upload = Upload::new(node, stated, max_bytes);
     while let Some(frame) = body.frame().await {
@@ -122,6 +121,7 @@
         metrics::gauge!("held_bytes", "purpose" => purpose.name())
             .set(node.held_bytes.borrow().held(purpose) as f64);
     }
+    metrics::gauge!("server_bytes").set(node.server_bytes.borrow().total() as f64);
     for (service, silence) in node.reachability.borrow().silences(now) {
         metrics::gauge!("service_silence_seconds", "service" => service.clone())
             .set(silence.as_secs_f64());
@@ -204,7 +204,11 @@
     told.insert(zone.to_owned(), addresses.to_vec());
 }
 
-async fn route(node: &Rc<Node>, head: &mut request::Parts, body: Bytes) -> Response<ResponseBody> {
+async fn route(
+    node: &Rc<Node>,
+    head: &mut request::Parts,
+    body: HeldBody,
+) -> Response<ResponseBody> {
     let Some(desired) = node.desired() else {
         return full_response(responses::not_run("no desired state is known yet"));
     };
@@ -239,7 +243,7 @@
         let target = head.uri.path_and_query().map_or(path, |target| target.as_str());
         let timeout = route.timeout.unwrap_or(DEFAULT_TIMEOUT).min(request_timeout(&head.headers));
         let submission = Submission { id, host, path: target, account: access::account(head) };
-        let accept = submissions::accept(node, route, submission, body);
+        let accept = submissions::accept(node, route, submission, body.bytes);
         let response = full_response(submissions::with_timeout(timeout, accept).await);
         return response.map(|body| body.with_duration(duration));
     }
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -23,12 +23,14 @@
     access,
     body::{full_response, BodyEnd, PartialBody, Relay, ResponseBody},
     clock,
-    hold::{Hold, Pieces},
+    hold::{HeldBody, Hold, Pieces},
     http::{self as client, Connection, Error, ReadEnd},
     node::Node,
     peer_forward::{self, Forwarded},
     permits::{self, Permit, Verification, VerifyError},
+    request_body::{BodyGuards, RequestBody},
     responses,
+    server_bytes::{FullServers, OnWay},
     streams::{self, Choice, Scope, Start},
     usage::{self, Counted},
 };
@@ -135,9 +137,11 @@
     node: &Rc<Node>,
     route: &Route,
     head: &request::Parts,
-    mut body: Bytes,
+    body: HeldBody,
     arrival: Arrival,
 ) -> Response<ResponseBody> {
+    // The bytes are held until the response is known, also those that another daemon is sent.
+    let HeldBody { bytes: mut body, hold } = body;
     let id = header_text(&head.headers, &headers::ATTEMPT).to_owned();
     let deadline = request_deadline(node, route, &head.headers);
     let scoped = match streams::scope(node, route, head, &body).await {
@@ -155,6 +159,7 @@
     let max_runs = arrival.max_runs(route);
     let mut last_response = None;
     let started = clock::now();
+    let full = FullServers::new(body.len(), deadline);
     let resume_until = started + RESUME_PATIENCE.min(deadline.saturating_sub(started) / 3);
     let path = head.uri.path().as_bytes();
     let request_fingerprint =
@@ -186,10 +191,11 @@
             break give_up(runs, last_response, StatusCode::BAD_GATEWAY, reason);
         }
         let choice = scope.choice(node);
+        let avoided = full.add_to(node, &excluded);
         let query = ServerQuery {
             service: &service,
             location: &node.location,
-            tried: &excluded,
+            tried: &avoided,
             class,
             software: choice.as_ref().map_or(SoftwareChoice::Any, Choice::as_query),
         };
@@ -203,6 +209,9 @@
                 (excluded, tries) = (Vec::new(), 0);
                 continue;
             }
+            if tries < max_tries && avoided.len() > excluded.len() && full.wait(node).await {
+                continue;
+            }
             break match permit_delay {
                 Some(delay) if runs == 0 => full_response(responses::not_run_until(
                     "the servers are at their request limits",
@@ -225,11 +234,14 @@
         let is_last = runs + 1 >= max_runs;
         let is_sent = Cell::new(false);
         let counted = Cell::new(None);
+        let on_way = Rc::new(OnWay::new(node, &server.id, body.len()));
+        let guards: BodyGuards = (Rc::clone(&hold), on_way);
         let (body, scope) = (&body, &scope);
         let req = CallerRequest {
             route,
             head,
             body,
+            guards: &guards,
             scope,
             is_last,
             is_sent: &is_sent,
@@ -346,6 +358,7 @@
     route: &'a Route,
     head: &'a request::Parts,
     body: &'a Bytes,
+    guards: &'a BodyGuards,
     scope: &'a Scope,
     /// Whether no other server may run the request if this attempt fails.
     is_last: bool,
@@ -404,6 +417,10 @@
             guard.end(Ended::Failed);
             AttemptOutcome::Failed(Failure { reason, response: None, crashed: true })
         }
+        Ok(Err(ExchangeError::Stalled)) => {
+            guard.end(Ended::Failed);
+            AttemptOutcome::failed("the server has stopped reading the request")
+        }
         Ok(Err(ExchangeError::NotRecorded(reason))) => {
             guard.end(Ended::Cancelled);
             AttemptOutcome::failed(reason)
@@ -454,6 +471,8 @@
     NotSent(String),
     /// The response ended too early, a stream before its first event.
     Incomplete(String),
+    /// The server has stopped reading the request.
+    Stalled,
     /// The stream began, but its first event must not be passed on.
     NotRecorded(&'static str),
 }
@@ -479,7 +498,7 @@
     permit: Permit,
     remaining: Duration,
 ) -> Result<(Response<Received>, Connection), ExchangeError> {
-    let CallerRequest { route, head, body, scope, is_sent, counted, .. } = req;
+    let CallerRequest { route, head, body, guards, scope, is_sent, counted, .. } = req;
     let (server, permitted_at) = (permit.server().clone(), permit.sent_at());
     let connect_timeout = CONNECT_TIMEOUT.min(remaining);
     let (mut conn, sent_at) = match scope {
@@ -500,13 +519,18 @@
             .map_err(|reason| ExchangeError::NotSent(reason.to_owned()))?,
         Scope::Any | Scope::Resumed(_) => None,
     };
+    let body = RequestBody::new(body.clone(), guards.clone());
+    let progress = body.progress();
     let mut message = build_request(head, body, &server, remaining);
     if scope.is_resumed() {
         message.headers_mut().entry(headers::PRIORITY).or_insert(RESUME_PRIORITY);
     }
     is_sent.set(true);
     counted.set(usage::count(node, head, node.location.round_trip(&server.zone) / 2));
-    let response = conn.send(message).await?;
+    let response = tokio::select! {
+        response = conn.send(message) => response?,
+        () = progress.stalled() => return Err(ExchangeError::Stalled),
+    };
     node.on_response(&server.id, server.started_ms, sent_at, &response);
     let is_streaming = route.kind == RouteKind::Stream && response.status() == StatusCode::OK;
     if !is_streaming {
@@ -597,11 +621,11 @@
 
 fn build_request(
     head: &request::Parts,
-    body: &Bytes,
+    body: RequestBody,
     server: &Backend,
     remaining: Duration,
-) -> Request<Bytes> {
-    let mut message = Request::new(body.clone());
+) -> Request<RequestBody> {
+    let mut message = Request::new(body);
     *message.method_mut() = head.method.clone();
     let path = head.uri.path_and_query().cloned();
     *message.uri_mut() = path.map(http::Uri::from).unwrap_or_default();
--- a/crates/daemon/src/hosted/hold.rs
+++ b/crates/daemon/src/hosted/hold.rs
@@ -2,19 +2,19 @@
 
 use std::{collections::VecDeque, rc::Rc, time::Duration};
 
-use buckthornfall_core::held_bytes::Purpose;
+use buckthornfall_core::{held_bytes::Purpose, server_bytes::SHORT_BODY_BYTES};
 use bytes::{Bytes, BytesMut};
 use log::info;
 use tokio::time::timeout;
 
 use super::node::Node;
 
-/// Bytes of each body that are not counted.
-pub const FREE_BYTES: usize = 64 << 10;
 /// Number of times that a body of a request is in memory, as a job's is while it is decoded.
 const UPLOAD_COPIES: usize = 2;
 /// Maximum wait of a long body for the budget, before its request is refused.
 const UPLOAD_PATIENCE: Duration = Duration::from_millis(700);
+/// Maximum size of a piece that is read from a server at once.
+const MAX_PIECE_BYTES: usize = 64 << 10;
 /// Size up to which pieces of a body are copied into larger ones.
 const PIECE_BYTES: usize = 16 << 10;
 
@@ -34,7 +34,7 @@
     /// Holds the budget for a body of `size` bytes, more or less than before. Returns whether the budget
     /// allows it.
     pub fn resize(&mut self, size: usize) -> bool {
-        let wanted = if size > FREE_BYTES { size } else { 0 };
+        let wanted = if size > SHORT_BODY_BYTES { size } else { 0 };
         if wanted == self.bytes {
             return true;
         }
@@ -51,20 +51,27 @@
         true
     }
 
-    /// Like `resize`, but waits for at most `patience`.
+    /// Like `resize`, but waits for at most `patience`, unless many others do.
     pub async fn wait(&mut self, size: usize, patience: Duration) -> bool {
-        let allowed = async {
-            while !self.resize(size) {
-                let node = Rc::clone(&self.node);
-                node.bytes_released.notified().await;
-            }
+        if self.resize(size) {
+            return true;
+        }
+        let is_allowed = match WaitGuard::new(&self.node) {
+            Some(_guard) => timeout(patience, self.wait_on(size)).await.is_ok(),
+            None => false,
         };
-        let is_allowed = timeout(patience, allowed).await.is_ok();
         if !is_allowed {
             info!(purpose = self.purpose.name(), bytes = size; "held_bytes_denied");
         }
         is_allowed
     }
+
+    async fn wait_on(&mut self, size: usize) {
+        while !self.resize(size) {
+            let node = Rc::clone(&self.node);
+            node.bytes_released.notified().await;
+        }
+    }
 }
 
 impl Drop for Hold {
@@ -73,6 +80,23 @@
     }
 }
 
+/// Counts a body that waits for the budget.
+struct WaitGuard(Rc<Node>);
+
+impl WaitGuard {
+    /// Counts a body from now on; `None` if too many wait.
+    fn new(node: &Rc<Node>) -> Option<WaitGuard> {
+        let may_wait = node.held_bytes.borrow_mut().start_wait();
+        may_wait.then(|| WaitGuard(Rc::clone(node)))
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.0.held_bytes.borrow_mut().end_wait();
+    }
+}
+
 /// Why the body of a request is not read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UploadError {
@@ -108,7 +132,7 @@
         }
         if size > self.buf.capacity() {
             let whole = self.stated.unwrap_or(self.max_bytes).max(size);
-            let capacity = (size * 2).max(FREE_BYTES / UPLOAD_COPIES).min(whole);
+            let capacity = (size * 2).max(SHORT_BODY_BYTES / UPLOAD_COPIES).min(whole);
             if !self.hold.wait(capacity * UPLOAD_COPIES, UPLOAD_PATIENCE).await {
                 return Err(UploadError::NoMemory);
             }
@@ -119,12 +143,18 @@
     }
 
     /// Returns the body, with what it holds of the budget.
-    pub fn finish(mut self) -> (Bytes, Hold) {
+    pub fn finish(mut self) -> HeldBody {
         self.hold.resize(self.buf.len() * UPLOAD_COPIES);
-        (self.buf.freeze(), self.hold)
+        HeldBody { bytes: self.buf.freeze(), hold: Rc::new(self.hold) }
     }
 }
 
+/// Body of a request, with what it holds of the budget.
+pub struct HeldBody {
+    pub bytes: Bytes,
+    pub hold: Rc<Hold>,
+}
+
 /// A body in pieces, as they arrived.
 pub struct Pieces {
     whole: VecDeque<Bytes>,
@@ -169,6 +199,12 @@
         Some(piece)
     }
 
+    /// Returns whether the budget allows a further piece while at most `limit` bytes are held.
+    pub fn has_room(&mut self, limit: usize) -> bool {
+        let wanted = self.bytes + MAX_PIECE_BYTES;
+        self.bytes == 0 || (wanted <= limit && self.hold.resize(wanted))
+    }
+
     /// Returns the number of bytes.
     pub fn len(&self) -> usize {
         self.bytes
--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -12,7 +12,7 @@
 use buckthornfall_proto::{digest::fingerprint, ids::Fingerprint};
 use bytes::Bytes;
 use http::{header, HeaderMap, HeaderValue, Request, Response};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
@@ -23,7 +23,7 @@
     time::timeout,
 };
 
-use super::hold::Pieces;
+use super::{hold::Pieces, request_body::RequestBody};
 
 /// Why a request has no response.
 #[derive(Debug, Snafu)]
@@ -104,8 +104,11 @@
 /// the peer closes the connection.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(600);
 
-/// Size of a connection's receive buffer, for about 5 MB/s over a link between regions.
-const RECEIVE_BUFFER_BYTES: u32 = 128 << 10;
+/// Size of a connection's receive buffer, for about 2.5 MB/s over a link between regions. Those of responses
+/// that wait for callers who read slowly stay full.
+const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
+/// Size of a connection's send buffer. What lies in it counts as on its way to the server.
+const SEND_BUFFER_BYTES: u32 = 128 << 10;
 /// Maximum size of a response head: four times the maximum size of a request head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum size of a response body that is read whole; above the largest object in the store (8 MiB).
@@ -130,7 +133,7 @@
 #[derive(Debug)]
 pub struct Connection {
     addr: SocketAddr,
-    tx: http1::SendRequest<Full<Bytes>>,
+    tx: http1::SendRequest<RequestBody>,
     task: AbortHandle,
     /// Number of requests sent on the connection.
     requests_sent: u32,
@@ -202,12 +205,15 @@
     }
 
     /// Sends a request and returns the response head, with a body that is yet to be read.
-    pub async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>> {
+    pub async fn send(
+        &mut self,
+        req: Request<impl Into<RequestBody>>,
+    ) -> Result<Response<Incoming>> {
         let reused = self.requests_sent > 0;
         let addr = self.addr;
         let id = req.headers().get(headers::ATTEMPT).cloned();
         self.record_sent(request_key(id.as_ref().map_or(b"", |id| id.as_bytes())));
-        let sent = self.tx.send_request(req.map(Full::new)).await;
+        let sent = self.tx.send_request(req.map(Into::into)).await;
         let response = sent.context(NoAnswerSnafu { addr, reused })?;
         if is_mismatched(&response, id.as_ref()) {
             self.idle_timeout = Duration::ZERO;
@@ -291,11 +297,12 @@
     Partial,
 }
 
-/// Opens a socket whose receive buffer does not grow, as what lies in it counts as memory of the process
+/// Opens a socket whose buffers do not grow, as what lies in it counts as memory of the process
 /// where responses wait for their callers.
 async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
     socket.connect(addr).await
 }
 
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -19,6 +19,7 @@
     peer_choice::PeerChoice,
     reachability::Reachability,
     readiness::Readiness,
+    server_bytes::ServerBytes,
     stop::Durations,
     store::{RowKey, RowVersion, StoreTx, TxEnd},
     suspects::Suspects,
@@ -140,7 +141,9 @@
     pub passed_on: Cell<usize>,
     /// Bytes of bodies held in memory.
     pub held_bytes: RefCell<HeldBytes>,
-    /// Notified when some of them are given back.
+    /// Bytes of bodies on their way to servers.
+    pub server_bytes: RefCell<ServerBytes>,
+    /// Notified when some of either are given back.
     pub bytes_released: Notify,
     pub actors: OnceCell<Actors>,
 }
@@ -187,6 +190,7 @@
             forward_peers: Connections::for_requests(),
             passed_on: Cell::new(0),
             held_bytes: RefCell::new(HeldBytes::new(settings.memory_bytes)),
+            server_bytes: RefCell::default(),
             bytes_released: Notify::new(),
             actors: OnceCell::new(),
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/daemon/src/hosted/peer_forward.rs
+++ b/crates/daemon/src/hosted/peer_forward.rs
@@ -34,7 +34,7 @@
     body::{full_response, InFlightGuard, RelayError, ResponseBody},
     clock,
     forward::{self, header_text, Arrival},
-    hold::{Hold, Upload, UploadError},
+    hold::{HeldBody, Upload, UploadError},
     node::Node,
     responses,
 };
@@ -391,8 +391,7 @@
     }
     let wait = header_text(&head.headers, &headers::DEADLINE).parse().map(Duration::from_millis);
     let body = read_body(node, body, desired.limits.body_bytes);
-    // The bytes are held until the response is known.
-    let Ok(Ok((body, _hold))) = timeout(wait.unwrap_or_default(), body).await else {
+    let Ok(Ok(body)) = timeout(wait.unwrap_or_default(), body).await else {
         return refuse("the body did not arrive whole");
     };
     let host = header_text(&head.headers, &header::HOST);
@@ -417,7 +416,7 @@
     node: &Rc<Node>,
     mut body: RecvStream,
     max_bytes: usize,
-) -> Result<(Bytes, Hold), UploadError> {
+) -> Result<HeldBody, UploadError> {
     let mut upload = Upload::new(node, None, max_bytes);
     while let Some(data) = body.data().await {
         let data = data.map_err(|_| UploadError::Broken)?;
--- a/crates/daemon/src/hosted/server.rs
+++ b/crates/daemon/src/hosted/server.rs
@@ -23,7 +23,7 @@
 use log::{info, warn};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     time::sleep,
 };
 
@@ -35,6 +35,12 @@
 
 /// Minimum buffer size that hyper accepts for a request head.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Size of the buffers of a caller's connection, for about 10 MB/s within a region. They do not grow: what
+/// lies in them for callers who read slowly, or for bodies that are not read yet, counts as memory of the
+/// process.
+const BUFFER_BYTES: u32 = 64 << 10;
+/// Maximum number of connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Interval between checks for idle connections and late request heads.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay after a failed accept, for example when no file descriptor is left.
@@ -60,7 +66,7 @@
 where
     F: Future<Output = ()> + 'static,
 {
-    let listener = TcpListener::bind(addr).await?;
+    let listener = bind(addr)?;
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
@@ -77,6 +83,16 @@
     Ok(())
 }
 
+/// Binds a listener. Its connections inherit the sizes of its buffers.
+fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(BUFFER_BYTES)?;
+    socket.set_send_buffer_size(BUFFER_BYTES)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
 /// Activity on one connection.
 struct Activity {
     in_flight: Cell<usize>,
