--- a/crates/core/tests/held_bytes.rs
+++ b/crates/core/tests/held_bytes.rs
@@ -53,3 +53,14 @@
     assert!(budget.resize(Purpose::Requests, 1_500_000, 0));
     assert!(budget.resize(Purpose::Requests, 0, 1));
 }
+
+#[test]
+fn only_as_many_bodies_wait_as_their_buffers_have_room() {
+    const WAITING_BODY_BYTES: usize = 128 << 10;
+    let memory = 120_000_000;
+    let mut budget = HeldBytes::new(memory);
+    let waiting = (0..10_000).filter(|_| budget.start_wait()).count();
+    assert!(waiting > 0 && waiting * WAITING_BODY_BYTES <= memory / 16, "{waiting} wait");
+    budget.end_wait();
+    assert!(budget.start_wait() && !budget.start_wait());
+}
