--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -121,6 +121,8 @@
     missing_since: Option<Now>,
     /// When a further request of each class is expected to get a permit.
     permits_at: Vec<(PermitClass, Now)>,
+    /// When the server is taken away, if it has given notice of that.
+    taken_at: Option<Now>,
 }
 
 impl Tracked {
@@ -135,6 +137,7 @@
             service_time: None,
             missing_since: None,
             permits_at: Vec::new(),
+            taken_at: None,
         }
     }
 
@@ -307,6 +310,19 @@
         known.is_none_or(|known| known.started_ms < started_ms)
     }
 
+    /// Records that a server is taken away after `time_left`.
+    pub fn on_notice(&mut self, now: Now, id: &str, time_left: Duration) {
+        if let Some(known) = self.servers.get_mut(id) {
+            let at = now + time_left;
+            known.taken_at = Some(known.taken_at.map_or(at, |taken_at| taken_at.min(at)));
+        }
+    }
+
+    /// Returns when a server is taken away, if it has given notice of that.
+    pub fn taken_at(&self, id: &str) -> Option<Now> {
+        self.servers.get(id).and_then(|known| known.taken_at)
+    }
+
     /// Removes an entry. If a store call failed recently (`steady` is false), the server stays usable
     /// for a grace period.
     pub fn remove(&mut self, now: Now, id: &str, steady: bool) {
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -214,6 +214,7 @@
         out: &mut Vec<JobAction>,
     ) {
         self.give_up_expired(now, out);
+        self.move_from_taken(now, backends, plan, out);
         self.move_slow_runs(now, backends, plan, out);
         self.start_runs(now, backends, plan, out);
         for (id, job) in &mut self.jobs {
--- a/crates/core/src/job/runs.rs
+++ b/crates/core/src/job/runs.rs
@@ -4,7 +4,9 @@
 
 use buckthornfall_proto::ids::ServerId;
 
-use super::{Job, JobAction, JobId, Jobs, NamedVersion, Run, RunEnd, Sample, SampleState, Text};
+use super::{
+    Job, JobAction, JobId, Jobs, NamedVersion, Run, RunEnd, RunId, Sample, SampleState, Text,
+};
 use crate::{
     backends::{Backends, Ended},
     permits::PermitClass,
@@ -28,7 +30,53 @@
 /// server that failed once.
 const MIN_RESUME_WAIT: Duration = Duration::from_millis(500);
 
+/// Time before a server is taken away in which its runs go on elsewhere. Its notice is up to 0.8 s old
+/// when it is read, and shorter runs end by themselves.
+const MOVE_BEFORE_TAKEN: Duration = Duration::from_millis(1_000);
+
 impl Jobs {
+    /// Migrates the runs of servers that are about to be taken away to others with a free slot.
+    pub(super) fn move_from_taken(
+        &mut self,
+        now: Now,
+        backends: &mut Backends,
+        plan: &Plan,
+        out: &mut Vec<JobAction>,
+    ) {
+        let is_due = |run: &Run| {
+            backends.taken_at(&run.server).is_some_and(|at| at <= now + MOVE_BEFORE_TAKEN)
+        };
+        let mut due: Vec<_> =
+            self.runs.iter().filter(|(_, run)| is_due(run)).map(|(id, _)| *id).collect();
+        due.sort_unstable();
+        for id in due {
+            let run = &self.runs[&id];
+            let Some(job) = self.jobs.get(&run.job) else { continue };
+            let named = self.named_versions.get(&job.spec.model);
+            let software = job.samples[run.sample].text.software().map(String::as_str);
+            if choose_server(now, job, named, backends, plan, software).is_some() {
+                self.move_run(now, id, backends, plan, out);
+            }
+        }
+    }
+
+    fn move_run(
+        &mut self,
+        now: Now,
+        id: RunId,
+        backends: &mut Backends,
+        plan: &Plan,
+        out: &mut Vec<JobAction>,
+    ) {
+        let Some(run) = self.runs.remove(&id) else { return };
+        if let Some(job) = self.jobs.get_mut(&run.job) {
+            job.samples[run.sample].state = SampleState::Waiting(now);
+        }
+        backends.ended(now, &run.server, Ended::Cancelled);
+        out.push(JobAction::Move { run: id });
+        self.start_run(now, &run.job, run.sample, backends, plan, out);
+    }
+
     /// Migrates runs from slow servers to faster ones with a free slot.
     pub(super) fn move_slow_runs(
         &mut self,
@@ -47,13 +95,8 @@
             if job.policy.single_version || !run.should_move(now, job, named, backends, plan) {
                 continue;
             }
-            let run = self.runs.remove(&id).expect("looked up above");
-            let sample = &mut job.samples[run.sample];
-            sample.state = SampleState::Waiting(now);
-            sample.moves += 1;
-            backends.ended(now, &run.server, Ended::Cancelled);
-            out.push(JobAction::Move { run: id });
-            self.start_run(now, &run.job, run.sample, backends, plan, out);
+            job.samples[run.sample].moves += 1;
+            self.move_run(now, id, backends, plan, out);
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod auth;
 pub mod backends;
 pub mod burn;
+pub mod capacity;
 pub mod claim;
 pub mod commit;
 pub mod config;
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -552,3 +552,22 @@
     h.end(run, &RunEnd::Complete);
     assert_eq!(appended(&h.tick()), [(0, vec!["event 1\nevent 2".to_owned()])]);
 }
+
+/// A server that is taken away gets no new runs from its notice on; its runs go on elsewhere with their
+/// text shortly before it is gone.
+#[test]
+fn runs_move_from_a_server_that_is_taken_away() {
+    let mut h = Harness::new(&[("i-1", 1)]);
+    let runs = h.run_two_samples();
+    h.backends.upsert(backend("i-2", 1));
+    h.backends.upsert(Backend { draining: true, spot: true, ..backend("i-1", 1) });
+    h.backends.on_notice(h.now, "i-1", Duration::from_millis(2_000));
+    assert_eq!(h.tick(), []);
+    let out = h.advance(1_100);
+    let moved = |run: &RunId| out.contains(&JobAction::Move { run: *run });
+    assert!(runs.iter().all(moved), "{out:?}");
+    let starts = out.iter().filter(
+        |action| matches!(action, JobAction::Run { server, after: Some(1), .. } if server == "i-2"),
+    );
+    assert_eq!(starts.count(), 2, "{out:?}");
+}
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -5,6 +5,7 @@
 
 mod access;
 mod body;
+mod capacity;
 mod cleanup;
 mod clock;
 mod duties;
@@ -159,6 +160,7 @@
     tokio::task::spawn_local(origins::run(Rc::clone(&node)));
     tokio::task::spawn_local(paths::run(Rc::clone(&node)));
     usage::start(&node);
+    capacity::start(&node);
     info!(host = config.host.as_str(), zone = config.zone.as_str(), front:% = config.front, store:% = config.store; "started");
     tokio::task::spawn_local(reload::watch(Rc::clone(&node), changed));
     terminate.recv().await;
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -110,9 +110,12 @@
 
 fn on_view(node: &Node, table: Table, sent_at: Now) {
     match table {
-        Table::Fleet => node.origins.borrow_mut().on_view(sent_at),
+        Table::Fleet => {
+            node.origins.borrow_mut().on_view(sent_at);
+            node.fleet_read_at.set(sent_at);
+        }
         Table::Operator => node.key_freshness.borrow_mut().on_read(sent_at),
-        Table::Servers => {}
+        Table::Servers => node.servers_read_at.set(sent_at),
     }
 }
 
@@ -197,6 +200,11 @@
         Ok(entry) => {
             let before = backends.get(id).cloned();
             backends.upsert(entry);
+            let is_leaving = backends.get(id).is_some_and(|entry| entry.draining);
+            let time_left = is_leaving.then(|| servers::time_left(value)).flatten();
+            if let Some(time_left) = time_left {
+                backends.on_notice(now, id, time_left);
+            }
             let Some(entry) = backends.get(id) else { return };
             let changed = before.is_none_or(|before| {
                 before.draining != entry.draining
@@ -205,7 +213,8 @@
                     || before.software != entry.software
             });
             if changed {
-                info!(server = id.as_str(), service = entry.service.as_str(), draining = entry.draining, software = entry.software.as_str(),
+                info!(server = id.as_str(), service = entry.service.as_str(), draining = entry.draining,
+                    spot = entry.spot, left_ms:? = time_left.map(|left| left.as_millis()), software = entry.software.as_str(),
                     started_ms = entry.started_ms,
                     models:? = entry.models.iter().map(|m| (&m.name, m.version)).collect::<Vec<_>>(),
                     row_version = row.version; "server_entry");
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -98,6 +98,10 @@
     /// Requests that servers began, by client account.
     pub tally: RefCell<Tally>,
     pub backends: RefCell<Backends>,
+    /// When the store was last asked for changes of the servers' entries that are known here.
+    pub servers_read_at: Cell<Now>,
+    /// The same for the rows of jobs.
+    pub fleet_read_at: Cell<Now>,
     pub members: RefCell<Members>,
     pub suspects: RefCell<Suspects>,
     pub origins: RefCell<Origins>,
@@ -162,6 +166,8 @@
             duty_client: DutyClient::default(),
             tally: RefCell::default(),
             backends: RefCell::default(),
+            servers_read_at: Cell::default(),
+            fleet_read_at: Cell::default(),
             suspects: RefCell::default(),
             origins: RefCell::default(),
             records: Records::default(),
