--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -205,6 +205,12 @@
         Some(Decision { needed, wanted: goal.values().sum(), there: there.values().sum(), orders })
     }
 
+    /// Returns whether an order may still be sent: a call for the same zone may have been refused since
+    /// the decision.
+    pub fn may_send(&self, now: Now, order: &CapacityOrder) -> bool {
+        self.quiet_until.get(&order.group.zone).is_none_or(|until| *until <= now)
+    }
+
     /// Handles the outcome of an order. `quiet` is the time in which a daemon that has lost the duty
     /// hears of it.
     pub fn on_end(&mut self, now: Now, order: &CapacityOrder, end: CallEnd, quiet: Duration) {
--- a/crates/core/tests/capacity_orders.rs
+++ b/crates/core/tests/capacity_orders.rs
@@ -345,6 +345,9 @@
         capacity.on_end(at, order, CallEnd::Accepted, quiet);
     }
     capacity.on_end(at, &first[0], CallEnd::Refused, quiet);
+    // A further order of the same decision for that zone isn't sent either.
+    assert!(!capacity.may_send(at, &first[0]));
+    assert!(capacity.may_send(at + quiet, &first[0]));
     let elsewhere = orders(&mut capacity, 4_300);
     assert!(!elsewhere.is_empty());
     assert!(elsewhere.iter().all(|order| order.group.zone != first[0].group.zone));
--- a/crates/daemon/src/hosted/capacity.rs
+++ b/crates/daemon/src/hosted/capacity.rs
@@ -82,11 +82,11 @@
     if decision != *last {
         let open_jobs = jobs.iter().filter(|job| job.is_open).count();
         let shown = decision.clone().unwrap_or_default();
-        let spot = |kind| -> u32 {
+        let there = |kind| -> u32 {
             servers.there.iter().filter(|(group, _)| group.kind == kind).map(|(_, n)| n).sum()
         };
         info!(service, is_decided = decision.is_some(), needed = shown.needed, wanted = shown.wanted,
-            on_demand = spot(ServerKind::OnDemand), spot = spot(ServerKind::Spot),
+            on_demand = there(ServerKind::OnDemand), spot = there(ServerKind::Spot),
             leaving = servers.leaving.values().sum::<u32>(), open_jobs,
             age_ms = view.age.as_millis() as u64, orders = shown.orders.len(); "servers_decided");
         last.clone_from(&decision);
@@ -130,13 +130,16 @@
     capacity: &mut Capacity,
     order: &CapacityOrder,
 ) {
+    if !capacity.may_send(clock::now(), order) {
+        capacity.on_end(clock::now(), order, CallEnd::NotSent, Duration::ZERO);
+        return;
+    }
     let CapacityOrder { group, servers } = order;
     let spot = group.kind == ServerKind::Spot;
     let request = ServerOrder { service, zone: &group.zone, servers: *servers, spot };
     let end = node.duty_client.call(node, duties, |duty| wire::order_servers(duty, &request)).await;
     let quiet = node.settings().lease;
     capacity.on_end(clock::now(), order, end, quiet);
-    let is_refused = end == CallEnd::Refused;
-    info!(service, zone = group.zone.as_str(), spot, servers, is_refused, outcome:? = end;
+    info!(service, zone = group.zone.as_str(), spot, servers, outcome:? = end;
         "servers_ordered");
 }
