--- a/crates/core/tests/capacity_orders.rs
+++ b/crates/core/tests/capacity_orders.rs
@@ -248,7 +248,6 @@
             sum.1 += day.share_on_time() / SEEDS as f64;
         }
     }
-    println!("(cost, groups on time): fixed, on demand only, decision: {sums:?}");
     let [fixed, on_demand, decision] = sums;
     assert!(decision.1 >= fixed.1 + 0.02, "{sums:?}");
     assert!(decision.1 >= on_demand.1 - 0.01 && decision.0 < on_demand.0, "{sums:?}");
@@ -278,7 +277,6 @@
         day.groups_of_step = HEAVY;
         day.play(15, Some(&mut capacity));
         assert!(day.serving() > 60, "seed {seed}: {} servers", day.serving());
-        println!("seed {seed}: {low} servers, {low_share} on time, then {}", day.serving());
     }
 }
 
@@ -300,7 +298,6 @@
                 let is_met = day.serving() >= before;
                 met_after = met_after.filter(|_| is_met).or(is_met.then_some(second));
             }
-            println!("seed {seed}, dry {is_dry_everywhere}: {before}, {fewest}, {met_after:?}");
             assert!(met_after.is_some_and(|after| after <= 20), "{met_after:?}");
             assert!(fewest * 10 >= before * 8, "{fewest} of {before}");
         }
