Admission to plain services that are short of room

Callers of a plain service whose servers were full asked up to four of them in a row and were refused with a constant Retry-After; scoring requests of samples took the places that callers needed.

While servers of a plain service refuse, a daemon limits what it has in flight there, orders what waits and refuses at once what would be late. Without refusals every request is sent when it arrives.

--- a/crates/core/src/desired.rs
+++ b/crates/core/src/desired.rs
@@ -156,6 +156,12 @@
         let matching = of_host.filter(|route| path.starts_with(&route.prefix));
         matching.max_by_key(|route| route.prefix.len())
     }
+
+    /// Returns whether the servers of a service hold models.
+    pub fn has_models(&self, service: &str) -> bool {
+        let of_name = |known: &&Service| known.name == service;
+        self.services.iter().find(of_name).is_some_and(|known| !known.models.is_empty())
+    }
 }
 
 /// The desired state in force; its version never decreases.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accounts;
 pub mod admission;
+pub mod admission_queue;
 pub mod auth;
 pub mod backends;
 pub mod burn;
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -118,6 +118,12 @@
     metrics::gauge!("servers_known").set(node.backends.borrow().all().count() as f64);
     metrics::gauge!("jobs_known").set(node.jobs.borrow().len() as f64);
     metrics::gauge!("requests_in_flight").set(node.in_flight.get() as f64);
+    for (service, status) in node.admission.borrow().statuses() {
+        metrics::gauge!("admission_waiting", "service" => service.clone())
+            .set(status.waiting as f64);
+        metrics::gauge!("admission_limit", "service" => service.clone())
+            .set(status.limit.unwrap_or(f64::INFINITY));
+    }
     for purpose in Purpose::ALL {
         metrics::gauge!("held_bytes", "purpose" => purpose.name())
             .set(node.held_bytes.borrow().held(purpose) as f64);
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -21,6 +21,7 @@
 
 use super::{
     access,
+    admission::{Applicant, Place},
     body::{full_response, BodyEnd, PartialBody, Relay, ResponseBody},
     clock,
     hold::{Hold, Pieces},
@@ -42,6 +43,8 @@
 const SERVICE_TIME_FACTOR: u32 = 8;
 /// Number of refusals by servers after which the caller's request is refused.
 const MAX_REFUSALS: usize = 4;
+/// The same while the service is short of room, before the request waits again.
+const MAX_CONTESTED_REFUSALS: usize = 2;
 /// Number of servers that cannot be reached after which another daemon is asked.
 const MAX_PATH_FAILURES: u32 = 2;
 /// Interval between checks whether the servers of a waiting request have become silent.
@@ -51,7 +54,7 @@
 /// Timeout of a request that states no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Latency objective of a route that does not set one.
-const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(200);
+pub const DEFAULT_OBJECTIVE: Duration = Duration::from_millis(200);
 /// Maximum time for which a request that resumes a stream waits while the servers of its software
 /// version are full.
 const RESUME_PATIENCE: Duration = Duration::from_secs(1);
@@ -146,6 +149,20 @@
     };
     let (service, scope) = (scoped.service, scoped.scope);
     let class = PermitClass::caller(access::priority(route, head));
+    let applicant = Applicant {
+        service: &service,
+        route: &route.name,
+        id: &id,
+        account: access::account(head).map_or("", |account| &account.name),
+        class,
+        bytes: body.len(),
+        arrived: clock::now(),
+        deadline,
+        objective: route.objective.unwrap_or(DEFAULT_OBJECTIVE),
+    };
+    let is_queued = is_queued(node, route, &service);
+    let mut place = None;
+    let mut was_refused = false;
     // Servers that were tried, or whose request limit does not admit the request.
     let mut excluded: Vec<ServerId> = Vec::new();
     let mut tries = 0;
@@ -160,6 +177,14 @@
     let request_fingerprint =
         fingerprint(&[header_text(&head.headers, &header::HOST).as_bytes(), path, &body]);
     let response = loop {
+        if is_queued && place.is_none() {
+            match Place::wait(node, applicant, was_refused).await {
+                Ok(admitted) => place = Some(admitted),
+                Err(refusal) => {
+                    break full_response(responses::short_of_room(refusal.retry_after));
+                }
+            }
+        }
         if !node.suspects.borrow().may_run(clock::now(), request_fingerprint) {
             info!(request = id.as_str(), fingerprint = request_fingerprint; "request_crashes_servers");
             break give_up(
@@ -194,7 +219,9 @@
             software: choice.as_ref().map_or(SoftwareChoice::Any, Choice::as_query),
         };
         let chosen = choice.as_ref().and_then(|_| node.choose_server(query));
-        let max_tries = MAX_REFUSALS + runs as usize;
+        let is_contested = place.as_ref().is_some_and(Place::is_contested);
+        let max_refusals = if is_contested { MAX_CONTESTED_REFUSALS } else { MAX_REFUSALS };
+        let max_tries = max_refusals + runs as usize;
         let Some(server) = chosen.filter(|_| tries < max_tries) else {
             let may_wait = scope.is_resumed() && permit_delay.is_none();
             if may_wait && clock::now() < resume_until && !excluded.is_empty() && runs == 0 {
@@ -203,6 +230,11 @@
                 (excluded, tries) = (Vec::new(), 0);
                 continue;
             }
+            if is_contested && runs == 0 && permit_delay.is_none() && tries > 0 {
+                (place, was_refused) = (None, true);
+                (excluded, tries) = (Vec::new(), 0);
+                continue;
+            }
             break match permit_delay {
                 Some(delay) if runs == 0 => full_response(responses::not_run_until(
                     "the servers are at their request limits",
@@ -235,10 +267,14 @@
             is_sent: &is_sent,
             counted: &counted,
         };
+        let sent_at = clock::now();
         let end = attempt(node, req, permit, deadline).await;
         let (outcome, next) = match end {
             AttemptOutcome::Response(response) => {
                 node.suspects.borrow_mut().on_answer(request_fingerprint);
+                if let Some(place) = &place {
+                    place.on_answer(sent_at, applicant.objective);
+                }
                 ("answered".to_owned(), Some(response))
             }
             AttemptOutcome::NotRun(reason) => {
@@ -288,6 +324,13 @@
     response
 }
 
+/// Returns whether requests of a route wait while their service is short of room. Model servers queue
+/// requests by themselves, in the order that suits their batches.
+fn is_queued(node: &Node, route: &Route, service: &str) -> bool {
+    let is_single = matches!(route.kind, RouteKind::Idempotent | RouteKind::Once);
+    is_single && !node.desired().is_some_and(|desired| desired.has_models(service))
+}
+
 /// Returns whether more than one server may run a request. A stream that may be resumed has passed on
 /// no event when an attempt fails.
 pub fn may_repeat(route: &Route) -> bool {
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -39,6 +39,7 @@
 use tokio::{sync::Notify, time::sleep};
 
 use super::{
+    admission::{self, Queues},
     clock,
     duties::{DutyActor, DutyClient},
     origins::Records,
@@ -138,6 +139,8 @@
     pub forward_peers: Connections,
     /// Number of requests in flight that others have passed on to this daemon.
     pub passed_on: Cell<usize>,
+    /// Requests to plain services that are short of room.
+    pub admission: RefCell<Queues>,
     /// Bytes of bodies held in memory.
     pub held_bytes: RefCell<HeldBytes>,
     /// Notified when some of them are given back.
@@ -186,6 +189,7 @@
             peer_choice: RefCell::default(),
             forward_peers: Connections::for_requests(),
             passed_on: Cell::new(0),
+            admission: RefCell::default(),
             held_bytes: RefCell::new(HeldBytes::new(settings.memory_bytes)),
             bytes_released: Notify::new(),
             actors: OnceCell::new(),
@@ -288,6 +292,9 @@
         let service = self.backends.borrow().get(server).map(|entry| entry.service.clone());
         if let Some(service) = service {
             paths::on_response(self, &service);
+            if is_full(response) {
+                admission::on_full(self, &service, server);
+            }
         }
         // A 421 may come from another server that now has the address of a server that is gone.
         if response.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -390,6 +397,13 @@
     }
 }
 
+/// Returns whether a server refused a request for want of room.
+fn is_full<B>(response: &Response<B>) -> bool {
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers().contains_key(headers::NOT_RUN)
+        && !announces_leaving(response.headers())
+}
+
 fn announces_leaving(header_map: &HeaderMap) -> bool {
     header_map.get(headers::LEAVING).is_some_and(|value| value == "1")
 }
--- a/crates/daemon/src/hosted/responses.rs
+++ b/crates/daemon/src/hosted/responses.rs
@@ -39,3 +39,13 @@
     response.headers_mut().insert(header::RETRY_AFTER, after);
     response
 }
+
+/// Creates a refusal of a request to a service that is short of room. The delay is stated in
+/// milliseconds, so that the callers do not return together.
+pub fn short_of_room(delay: Duration) -> Response<Bytes> {
+    let mut response = not_run("the servers have no room for the request in its time");
+    let after = format!("{:.3}", delay.as_secs_f64());
+    let after = after.parse().expect("a number is a header value");
+    response.headers_mut().insert(header::RETRY_AFTER, after);
+    response
+}
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -1,6 +1,6 @@
 //! Scoring requests for finished samples.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use buckthornfall_core::{
     backends::{Ended, ServerQuery, SoftwareChoice},
@@ -12,7 +12,13 @@
 use http::{header, Request, StatusCode};
 use log::info;
 
-use super::{clock, node::Node, permits};
+use super::{
+    admission::{Applicant, Place},
+    clock,
+    forward::DEFAULT_OBJECTIVE,
+    node::Node,
+    permits,
+};
 
 /// Timeout of a scoring request whose route does not set one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -22,6 +28,9 @@
 /// Timeout of connecting to a scoring server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum wait for a place at a service that is short of room.
+const ADMISSION_PATIENCE: Duration = Duration::from_secs(2);
+
 /// Maximum wait for a permit of a limited scoring server.
 const PERMIT_PATIENCE: Duration = Duration::from_millis(1_000);
 
@@ -40,29 +49,47 @@
 }
 
 async fn exchange(node: &Rc<Node>, scorer: &Scorer, tries: u32) -> (ScoreEnd, String, String) {
-    let (chosen, most, class, attempt_timeout) = {
+    let (route, service) = {
         let path = scorer.path.split('?').next().unwrap_or_default();
         let desired = node.desired();
         let route = desired.as_ref().and_then(|desired| desired.route(&scorer.host, path));
         let Some(route) = route else {
             return (ScoreEnd::NoAnswer, String::new(), "no route".to_owned());
         };
-        let service = route.target(fingerprint(&[scorer.id.as_bytes()]));
-        let class = PermitClass::job(route.priority);
-        let query = ServerQuery {
-            service,
-            location: &node.location,
-            tried: &[],
-            class,
-            software: SoftwareChoice::Any,
-        };
-        let chosen = node.choose_server(query);
-        let route_timeout = route.timeout.unwrap_or(DEFAULT_TIMEOUT);
-        let attempt_timeout =
-            route_timeout.min(route_timeout / FIRST_ATTEMPT_DIVISOR * 2u32.pow(tries.min(4)));
-        (chosen, route.max_attempts, class, attempt_timeout)
+        (Arc::clone(route), route.target(fingerprint(&[scorer.id.as_bytes()])).clone())
+    };
+    let class = PermitClass::job(route.priority);
+    let most = route.max_attempts;
+    let route_timeout = route.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let attempt_timeout =
+        route_timeout.min(route_timeout / FIRST_ATTEMPT_DIVISOR * 2u32.pow(tries.min(4)));
+    let applicant = Applicant {
+        service: &service,
+        route: &route.name,
+        id: &scorer.id,
+        account: "",
+        class,
+        bytes: scorer.body.len(),
+        arrived: clock::now(),
+        deadline: clock::now() + ADMISSION_PATIENCE,
+        objective: route.objective.unwrap_or(DEFAULT_OBJECTIVE),
+    };
+    let place = match Place::wait(node, applicant, false).await {
+        Ok(place) => place,
+        Err(refusal) => {
+            let retry_after = refusal.retry_after;
+            let detail = format!("no room: {}", refusal.reason.name());
+            return (ScoreEnd::Denied { retry_after }, String::new(), detail);
+        }
+    };
+    let query = ServerQuery {
+        service: &service,
+        location: &node.location,
+        tried: &[],
+        class,
+        software: SoftwareChoice::Any,
     };
-    let Some(server) = chosen else {
+    let Some(server) = node.choose_server(query) else {
         return (ScoreEnd::NoAnswer, String::new(), "no server".to_owned());
     };
     let permit = match permits::acquire(node, &server, &scorer.id, class, PERMIT_PATIENCE).await {
@@ -104,6 +131,7 @@
     let end = match (proof, status) {
         (Some(proof), status) if status.is_success() && echoed => {
             ended(Ended::Answered(took));
+            place.on_answer(started, applicant.objective);
             ScoreEnd::Scored(proof.to_owned())
         }
         (_, StatusCode::INTERNAL_SERVER_ERROR) if echoed => {
