--- a/crates/core/tests/capacity_orders.rs
+++ b/crates/core/tests/capacity_orders.rs
@@ -272,7 +272,7 @@
         let mut day = Day::new(seed, Some(0.22), 10);
         let mut capacity = Capacity::default();
         day.play(300, Some(&mut capacity));
-        let (low, low_share) = (day.serving(), day.share_on_time());
+        let low = day.serving();
         assert!(low < 45 && day.servers.iter().any(|s| s.group.kind == ServerKind::Spot));
         day.groups_of_step = HEAVY;
         day.play(15, Some(&mut capacity));
