One attempt at a server in a module of its own

The attempt, its outcome and its classification are moved to hosted/attempt.rs, unchanged but for visibility. No change of behaviour.

--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -4,6 +4,7 @@
 //! decisions on jobs and weights between batches of its events.
 
 mod access;
+mod attempt;
 mod body;
 mod cleanup;
 mod clock;
