Second copies of slow requests, within a limit

The first usable answer wins, the other attempt is dropped and its connection closed. The delay is the route's response time that only as many requests exceed as the limit pays for. Response times, work and shortage are added up over all daemons by rows written with the heartbeats: where a daemon sends eight requests a minute its own share would pay for no copy.

--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -86,6 +86,8 @@
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(120);
 /// Longest backoff of a server that is loading weights; an updated entry ends it earlier.
 const LOADING_BACKOFF: Duration = Duration::from_millis(1_000);
+/// Number of servers of a service that refuse requests when it is short of room.
+const SHORT_SERVERS: usize = 2;
 /// Service time assumed until a server has responded.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(30);
 /// Cost of a server without an open connection, as added response time: opening one takes server
@@ -117,6 +119,8 @@
     loading_until: Now,
     /// Moving average of the service time in seconds, with the time of the last sample.
     service_time: Option<(f64, Now)>,
+    /// Time of the last refusal.
+    refused_at: Option<Now>,
     /// When the entry disappeared, if a store call had failed shortly before.
     missing_since: Option<Now>,
     /// When a further request of each class is expected to get a permit.
@@ -133,6 +137,7 @@
             backoff_until: Now::ZERO,
             loading_until: Now::ZERO,
             service_time: None,
+            refused_at: None,
             missing_since: None,
             permits_at: Vec::new(),
         }
@@ -427,6 +432,15 @@
         })
     }
 
+    /// Returns when a service was last short of room: when `SHORT_SERVERS` of its servers, or the only one,
+    /// had refused requests. One server alone may be full because it is slow.
+    pub fn short_of_room_at(&self, service: &str) -> Option<Now> {
+        let of_service = self.servers.values().filter(|known| known.entry.service == service);
+        let mut refused: Vec<_> = of_service.map(|known| known.refused_at).collect();
+        refused.sort_unstable_by(|a, b| b.cmp(a));
+        refused.get(SHORT_SERVERS.min(refused.len()).checked_sub(1)?).copied().flatten()
+    }
+
     /// Returns the service time of a server, or its service's mean while none is known.
     pub fn service_time(&self, now: Now, id: &str) -> Option<Duration> {
         let known = self.servers.get(id)?;
@@ -498,6 +512,15 @@
         }
     }
 
+    /// Records that a server had not answered a request after `elapsed`, when another one had. It is at
+    /// least that slow.
+    pub fn on_outrun(&mut self, now: Now, id: &str, elapsed: Duration) {
+        let Some(known) = self.servers.get_mut(id) else { return };
+        if known.service_time(now).is_none_or(|time| elapsed.as_secs_f64() > time) {
+            known.record_service_time(now, elapsed, RESPONSE_EWMA_WEIGHT);
+        }
+    }
+
     /// Counts a request that was sent to a server.
     pub fn started(&mut self, id: &str) {
         if let Some(known) = self.servers.get_mut(id) {
@@ -516,7 +539,10 @@
                 known.errors = 0;
                 known.backoff_until = Now::ZERO;
             }
-            Ended::Refused => known.backoff_until = known.backoff_until.max(now + REFUSAL_BACKOFF),
+            Ended::Refused => {
+                known.refused_at = Some(now);
+                known.backoff_until = known.backoff_until.max(now + REFUSAL_BACKOFF);
+            }
             Ended::Loading => known.loading_until = now + LOADING_BACKOFF,
             Ended::Failed => {
                 known.failures += 1;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod relay;
 pub mod retention;
 pub mod rollout;
+pub mod second_copies;
 pub mod step;
 pub mod stop;
 pub mod store;
--- a/crates/core/src/suspects.rs
+++ b/crates/core/src/suspects.rs
@@ -64,6 +64,13 @@
         crashes.count < MAX_CRASHES || age < BLOCK_DELAY || age >= COUNT_TTL
     }
 
+    /// Returns whether a server crashed lately while it ran the request.
+    pub fn is_suspect(&self, now: Now, request: Fingerprint) -> bool {
+        self.counts
+            .get(&request)
+            .is_some_and(|crashes| now.saturating_sub(crashes.last) < COUNT_TTL)
+    }
+
     fn evict(&mut self, now: Now) {
         self.counts.retain(|_, crashes| now.saturating_sub(crashes.last) < COUNT_TTL);
         if self.counts.len() >= MAX_FINGERPRINTS {
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use buckthornfall_core::second_copies::MAX_PERCENT;
 use clap::{crate_version, value_parser, Arg, ArgAction, Command};
 
 /// Returns the definition of the command line.
@@ -43,6 +44,21 @@
                      to standard output.",
                 ),
         )
+        .arg(
+            Arg::new("second-copies")
+                .long("second-copies")
+                .value_name("PERCENT")
+                .requires("hosted")
+                .default_value("0")
+                .value_parser(value_parser!(u32).range(..=i64::from(MAX_PERCENT)))
+                .help("Send second copies of slow requests, for at most PERCENT of the requests")
+                .long_help(
+                    "Send a second copy of a slow request to another server and return the answer \
+                     that comes first. Only requests that may be repeated are copied. All daemons \
+                     together send at most PERCENT further runs, copies and retries, per 100 such \
+                     requests of callers to a service. 0 sends no copies.",
+                ),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -27,6 +27,7 @@
 mod rows;
 mod runner;
 mod score;
+mod second_copy;
 mod server;
 mod store;
 mod stream;
@@ -41,6 +42,7 @@
     time::{Duration, Instant},
 };
 
+use buckthornfall_core::second_copies::SecondCopies;
 use buckthornfall_platform::settings::{self, NodeSettings};
 use buckthornfall_proto::messages::MemberState;
 use log::info;
@@ -106,20 +108,24 @@
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Reads the platform's settings and runs the daemon until a planned stop is complete.
-pub fn run() -> Result<()> {
+pub fn run(second_copies: SecondCopies) -> Result<()> {
     let settings = settings::load().context(SettingsSnafu)?;
     let recorder = recorder()?;
     let metrics = recorder.handle();
     metrics::set_global_recorder(recorder).map_err(|e| Error::Metrics { reason: e.to_string() })?;
-    run_with(settings, metrics)
+    run_with(settings, second_copies, metrics)
 }
 
 /// Runs the daemon with these settings until a planned stop is complete. Its metrics endpoint
 /// serves `metrics`.
-pub fn run_with(settings: NodeSettings, metrics: PrometheusHandle) -> Result<()> {
+pub fn run_with(
+    settings: NodeSettings,
+    second_copies: SecondCopies,
+    metrics: PrometheusHandle,
+) -> Result<()> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
-    LocalSet::new().block_on(&runtime, serve(settings, metrics))
+    LocalSet::new().block_on(&runtime, serve(settings, second_copies, metrics))
 }
 
 /// Checks the platform's settings.
@@ -134,10 +140,14 @@
     Ok(builder.build_recorder())
 }
 
-async fn serve(settings: NodeSettings, metrics: PrometheusHandle) -> Result<()> {
+async fn serve(
+    settings: NodeSettings,
+    second_copies: SecondCopies,
+    metrics: PrometheusHandle,
+) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let changed = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
-    let node = Node::new(settings, metrics);
+    let node = Node::new(settings, second_copies, metrics);
     start_actors(&node);
     let config = node.settings();
     let listeners = [
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -18,7 +18,7 @@
 use rustc_hash::FxHashSet;
 use tokio::time::sleep;
 
-use super::{clock, node::Node, origins, permits, rows};
+use super::{clock, node::Node, origins, permits, rows, second_copy};
 
 /// Minimum interval between two polls of one table, so that changes arrive in batches.
 pub const FEED_INTERVAL: Duration = Duration::from_millis(25);
@@ -265,6 +265,10 @@
         }
     } else if let Some(host) = key.strip_prefix(rows::REACH_PREFIX) {
         node.members.borrow_mut().on_reach(host, rows::decode(row));
+    } else if let Some(host) = key.strip_prefix(rows::COPIES_PREFIX) {
+        if let Some(copies) = rows::decode(row) {
+            second_copy::on_row(node, host, copies);
+        }
     } else if key == rows::PLAN_KEY {
         if let Some(plan) = rows::decode(row) {
             let plan = buckthornfall_core::weights::Plan::from_row(plan);
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -1,6 +1,6 @@
 //! Proxying of callers' requests to backend servers, with retries.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use buckthornfall_core::{
     backends::{ServerQuery, SoftwareChoice},
@@ -17,12 +17,13 @@
 
 use super::{
     access,
-    attempt::{attempt, AttemptOutcome, CallerRequest},
+    attempt::AttemptOutcome,
     body::{full_response, ResponseBody},
     clock,
     node::Node,
     peer_forward::{self, Forwarded},
     permits, responses,
+    second_copy::{self, Sending},
     streams::{self, Choice},
     usage,
 };
@@ -168,60 +169,55 @@
                 continue;
             }
         };
-        tries += 1;
-        let is_last = runs + 1 >= max_runs;
-        let is_sent = Cell::new(false);
-        let counted = Cell::new(None);
-        let (body, scope) = (&body, &scope);
-        let req = CallerRequest {
+        let sending = Sending {
             route,
             head,
-            body,
-            scope,
-            is_last,
-            is_sent: &is_sent,
-            counted: &counted,
+            body: &body,
+            scope: &scope,
+            class,
+            fingerprint: request_fingerprint,
+            deadline,
+            runs,
+            max_runs,
         };
-        let end = attempt(node, req, permit, deadline).await;
-        let (outcome, next) = match end {
-            AttemptOutcome::Response(response) => {
-                node.suspects.borrow_mut().on_answer(request_fingerprint);
-                ("answered".to_owned(), Some(response))
-            }
-            AttemptOutcome::NotRun(reason) => {
-                if let Some(counted) = counted.take() {
-                    usage::take_back(node, head, counted);
+        let mut answer = None;
+        for end in second_copy::send(node, sending, permit, &mut excluded).await {
+            tries += 1;
+            let outcome = match end.outcome {
+                AttemptOutcome::Response(response) => {
+                    node.suspects.borrow_mut().on_answer(request_fingerprint);
+                    answer = Some(response);
+                    "answered".to_owned()
                 }
-                (reason, None)
-            }
-            AttemptOutcome::Unreachable(reason) => {
-                path_failures += 1;
-                (reason, None)
-            }
-            AttemptOutcome::Failed(failure) => {
-                if failure.crashed {
-                    node.on_crash(request_fingerprint);
+                AttemptOutcome::NotRun(reason) => {
+                    if let Some(counted) = end.counted {
+                        usage::take_back(node, head, counted);
+                    }
+                    reason
                 }
-                runs += 1;
-                last_response = failure.response.or(last_response);
-                let retries = may_repeat(route) && runs < max_runs;
-                let next = (!retries).then(|| {
-                    give_up(
-                        runs,
-                        last_response.take(),
-                        StatusCode::BAD_GATEWAY,
-                        "the server failed",
-                    )
-                });
-                (failure.reason, next)
-            }
-        };
-        info!(request = id.as_str(), route = route.name.as_str(), server = server.id.as_str(), software = server.software.as_str(), tries,
-            resumes = header_text(&head.headers, &headers::RESUMES), after = header_text(&head.headers, &headers::LAST_EVENT),
-            left_ms = remaining.as_millis() as u64, outcome; "request_sent");
-        if let Some(response) = next {
+                AttemptOutcome::Unreachable(reason) => {
+                    path_failures += 1;
+                    reason
+                }
+                AttemptOutcome::Failed(failure) => {
+                    if failure.crashed {
+                        node.on_crash(request_fingerprint);
+                    }
+                    runs += 1;
+                    last_response = failure.response.or(last_response);
+                    failure.reason
+                }
+            };
+            info!(request = id.as_str(), route = route.name.as_str(), server = end.server.id.as_str(), software = end.server.software.as_str(), tries,
+                resumes = header_text(&head.headers, &headers::RESUMES), after = header_text(&head.headers, &headers::LAST_EVENT),
+                left_ms = remaining.as_millis() as u64, outcome; "request_sent");
+        }
+        if let Some(response) = answer {
             break response;
         }
+        if runs > 0 && !(may_repeat(route) && runs < max_runs) {
+            break give_up(runs, last_response, StatusCode::BAD_GATEWAY, "the server failed");
+        }
     };
     let took = clock::now().saturating_sub(started);
     metrics::histogram!("request_seconds", "route" => route.name.clone())
--- a/crates/daemon/src/hosted/heartbeat.rs
+++ b/crates/daemon/src/hosted/heartbeat.rs
@@ -7,7 +7,7 @@
 use log::info;
 use tokio::time::sleep;
 
-use super::{clock, feeds::FEED_INTERVAL, node::Node, rows};
+use super::{clock, feeds::FEED_INTERVAL, node::Node, rows, second_copy};
 
 /// Minimum time over which the request rate is computed, in seconds.
 const MIN_RATE_SECONDS: f64 = 0.1;
@@ -28,6 +28,8 @@
 async fn write_heartbeats(node: Rc<Node>) {
     let key =
         RowKey::new(rows::FLEET, "", &format!("{}{}", rows::MEMBER_PREFIX, node.settings().host));
+    let copies_key =
+        RowKey::new(rows::FLEET, "", &format!("{}{}", rows::COPIES_PREFIX, node.settings().host));
     let mut incarnation = None;
     let mut beat = 0;
     let mut last_write = clock::now();
@@ -58,9 +60,14 @@
                 store_ms: write_times_ms.iter().min().copied().unwrap_or(u32::MAX),
                 requests_per_s: rate.round() as u32,
             };
-            let tx = StoreTx::put(vec![(key.clone(), rows::encode(&row))]);
-            let end = node.store.transact(&tx).await;
+            let mut put = vec![(key.clone(), rows::encode(&row))];
+            let copies = second_copy::row(&node);
+            put.extend(copies.as_ref().map(|copies| (copies_key.clone(), rows::encode(copies))));
+            let end = node.store.transact(&StoreTx::put(put)).await;
             if matches!(end, TxEnd::Committed(_)) {
+                if let Some(copies) = copies {
+                    node.second_copies.borrow_mut().on_row_written(last_write, copies);
+                }
                 node.incarnation.set(incarnation);
                 node.origins.borrow_mut().on_heartbeat(last_write);
             }
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -19,6 +19,7 @@
     peer_choice::PeerChoice,
     reachability::Reachability,
     readiness::Readiness,
+    second_copies::SecondCopies,
     stop::Durations,
     store::{RowKey, RowVersion, StoreTx, TxEnd},
     suspects::Suspects,
@@ -100,6 +101,7 @@
     pub backends: RefCell<Backends>,
     pub members: RefCell<Members>,
     pub suspects: RefCell<Suspects>,
+    pub second_copies: RefCell<SecondCopies>,
     pub origins: RefCell<Origins>,
     pub records: Records,
     pub reachability: RefCell<Reachability>,
@@ -149,7 +151,11 @@
 const LEAVING_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
 impl Node {
-    pub fn new(settings: NodeSettings, metrics: PrometheusHandle) -> Rc<Node> {
+    pub fn new(
+        settings: NodeSettings,
+        second_copies: SecondCopies,
+        metrics: PrometheusHandle,
+    ) -> Rc<Node> {
         let location = settings.location();
         Rc::new(Node {
             store: Store::new(settings.store),
@@ -163,6 +169,7 @@
             tally: RefCell::default(),
             backends: RefCell::default(),
             suspects: RefCell::default(),
+            second_copies: RefCell::new(second_copies),
             origins: RefCell::default(),
             records: Records::default(),
             reachability: RefCell::default(),
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -36,6 +36,8 @@
 pub const SEEN_PREFIX: &str = "seen/";
 /// Key prefix of the services that daemons have lost.
 pub const REACH_PREFIX: &str = "reach/";
+/// Key prefix of the recent requests that may be repeated, by host.
+pub const COPIES_PREFIX: &str = "copies/";
 /// Table of the software versions that began callers' streams, in `ORIGIN_PARTS` partitions.
 pub const ORIGINS: &str = "origins";
 /// Number of partitions of `ORIGINS`; the store runs the transactions of one partition one by one.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, process::ExitCode, thread};
 
+use buckthornfall_core::second_copies::SecondCopies;
 use buckthornfall_daemon::{cli, hosted, logging, options::Options, Daemon};
 use buckthornfall_proto::{check, settings::Settings};
 use signal_hook::{
@@ -49,7 +50,7 @@
         return hosted::check().context(HostedSnafu);
     }
     logging::init_bounded();
-    hosted::run().context(HostedSnafu)
+    hosted::run(SecondCopies::new(options.second_copies)).context(HostedSnafu)
 }
 
 fn run(options: &Options) -> Result<(), Error> {
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -14,6 +14,8 @@
     pub check_only: bool,
     /// Run on the users' platform, with the settings that it provides.
     pub hosted: bool,
+    /// Limit of second copies of slow requests, in percent of the requests; 0 sends none.
+    pub second_copies: u32,
 }
 
 impl Options {
@@ -21,7 +23,12 @@
     pub fn from_matches(matches: &ArgMatches) -> Options {
         let settings = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
         let check_only = matches.get_flag("check");
-        Options { settings, check_only, hosted: matches.get_flag("hosted") }
+        Options {
+            settings,
+            check_only,
+            hosted: matches.get_flag("hosted"),
+            second_copies: matches.get_one("second-copies").copied().unwrap_or_default(),
+        }
     }
 }
 
