--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -49,6 +49,7 @@
                 .long("second-copies")
                 .value_name("PERCENT")
                 .requires("hosted")
+                .conflicts_with("settings")
                 .default_value("0")
                 .value_parser(value_parser!(u32).range(..=i64::from(MAX_PERCENT)))
                 .help("Send second copies of slow requests, for at most PERCENT of the requests")
