--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod relay;
 pub mod retention;
 pub mod rollout;
+pub mod second_copies;
 pub mod server_bytes;
 pub mod step;
 pub mod stop;
--- a/crates/daemon/src/hosted/admission.rs
+++ b/crates/daemon/src/hosted/admission.rs
@@ -238,7 +238,7 @@
 /// Records that a server of the service refused a request as it was full. Without client accounts
 /// callers do not compete, and their requests are never queued.
 pub fn on_full(node: &Node, service: &str, server: &str) {
-    if !node.desired().is_some_and(|desired| desired.accounts.is_some()) {
+    if node.desired().is_none_or(|desired| desired.accounts.is_none()) {
         return;
     }
     let servers = {
