The queue of plain services is asked only where it applies

Without client accounts each request and each scoring request still went through the queue, which always said to send it, and the one place that tells where the queue applies stood at the refusals of servers. Now one function tells it for both kinds of request before anything is counted. What a request asks for is written once: the applicant holds the queue's own type instead of a copy of its fields. No change of what is sent.

--- a/crates/daemon/src/hosted/admission.rs
+++ b/crates/daemon/src/hosted/admission.rs
@@ -5,7 +5,7 @@
 use buckthornfall_core::{
     accounts::AccountName,
     admission_queue::{AdmissionQueue, Decision, Demand, Refusal, Status, Ticket, Verdict},
-    permits::{PermitClass, PermitSource},
+    permits::PermitSource,
     Now,
 };
 use buckthornfall_proto::ids::ServiceName;
@@ -28,22 +28,10 @@
 pub struct Applicant<'a> {
     /// Its service.
     pub service: &'a str,
-    /// Name of its route.
-    pub route: &'a str,
     /// Its id.
     pub id: &'a str,
-    /// Client account; empty if none is known.
-    pub account: &'a str,
-    /// Source and priority.
-    pub class: PermitClass,
-    /// Size of its body.
-    pub bytes: usize,
-    /// When it arrived at this daemon.
-    pub arrived: Now,
-    /// When its answer is due at the latest.
-    pub deadline: Now,
-    /// Latency objective of its route.
-    pub objective: Duration,
+    /// What it asks for.
+    pub demand: Demand<'a>,
 }
 
 /// The queues of this daemon by service. A service has one once a request was sent to it.
@@ -85,22 +73,7 @@
 impl Place {
     /// Waits for a place, again if servers refused the request. The error is a refusal: the request is
     /// not to be sent.
-    pub async fn wait(
-        node: &Rc<Node>,
-        req: Applicant<'_>,
-        was_refused: bool,
-    ) -> Result<Place, Refusal> {
-        let demand = Demand {
-            class: req.class,
-            account: req.account,
-            route: req.route,
-            bytes: req.bytes,
-            arrived: req.arrived,
-            deadline: req.deadline,
-            objective: req.objective,
-            was_refused,
-            spread: rand::random(),
-        };
+    pub async fn wait(node: &Rc<Node>, req: Applicant<'_>) -> Result<Place, Refusal> {
         let started = clock::now();
         let decision = {
             let mut queues = node.admission.borrow_mut();
@@ -108,7 +81,7 @@
                 queues.by_service.insert(req.service.to_owned(), ServiceQueue::default());
             }
             let known = queues.by_service.get_mut(req.service).expect("it was inserted");
-            known.queue.arrive(started, &demand)
+            known.queue.arrive(started, &req.demand)
         };
         let place =
             |node: &Rc<Node>| Place { node: Rc::clone(node), service: req.service.to_owned() };
@@ -122,7 +95,7 @@
                     .record(waited.as_secs_f64());
                 match verdict {
                     Verdict::Send => {
-                        info!(request = req.id, service = req.service, account = req.account,
+                        info!(request = req.id, service = req.service, account = req.demand.account,
                             waited_ms = waited.as_millis() as u64; "admission_waited");
                         return Ok(place(node));
                     }
@@ -235,12 +208,15 @@
     }
 }
 
-/// Records that a server of the service refused a request as it was full. Without client accounts
-/// callers do not compete, and their requests are never queued.
+/// Returns whether requests to a service wait while it is short of room. Without client accounts callers
+/// do not compete, and model servers queue requests by themselves, in the order that suits their batches.
+pub fn is_queued(node: &Node, service: &str) -> bool {
+    let desired = node.desired();
+    desired.is_some_and(|desired| desired.accounts.is_some() && !desired.has_models(service))
+}
+
+/// Records that a server of the service refused a request as it was full.
 pub fn on_full(node: &Node, service: &str, server: &str) {
-    if node.desired().is_none_or(|desired| desired.accounts.is_none()) {
-        return;
-    }
     let servers = {
         let backends = node.backends.borrow();
         backends.all().filter(|entry| entry.service == service && !entry.draining).count()
@@ -256,17 +232,18 @@
 
 fn report(node: &Node, req: &Applicant<'_>, refusal: &Refusal, started: Now) {
     let mut queues = node.admission.borrow_mut();
-    let account = queues.label(req.account);
+    let Demand { account, route, class, .. } = req.demand;
+    let label = queues.label(account);
     let status = queues.by_service.get(req.service).map(|known| known.queue.status());
-    let source = match req.class.source {
+    let source = match class.source {
         PermitSource::Job => "job",
         PermitSource::Caller | PermitSource::Control => "caller",
     };
-    metrics::counter!("admission_refused_total", "service" => req.service.to_owned(), "account" => account,
+    metrics::counter!("admission_refused_total", "service" => req.service.to_owned(), "account" => label,
         "source" => source, "reason" => refusal.reason.name())
     .increment(1);
-    info!(request = req.id, service = req.service, route = req.route, account = req.account, source,
-        priority = req.class.priority, reason = refusal.reason.name(),
+    info!(request = req.id, service = req.service, route, account, source,
+        priority = class.priority, reason = refusal.reason.name(),
         largest_account:? = refusal.largest, waiting = status.map_or(0, |status| status.waiting),
         in_flight = status.map_or(0, |status| status.in_flight),
         limit:? = status.and_then(|status| status.limit),
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use buckthornfall_core::{
+    admission_queue::Demand,
     backends::{ServerQuery, SoftwareChoice},
     desired::{Route, RouteKind},
     permits::PermitClass,
@@ -16,7 +17,7 @@
 
 use super::{
     access,
-    admission::{Applicant, Place},
+    admission::{self, Applicant, Place},
     attempt::AttemptOutcome,
     body::{full_response, ResponseBody},
     clock,
@@ -100,20 +101,24 @@
     };
     let (service, scope) = (scoped.service, scoped.scope);
     let class = PermitClass::caller(access::priority(route, head));
-    let applicant = Applicant {
+    let mut applicant = Applicant {
         service: &service,
-        route: &route.name,
         id: &id,
-        account: access::account(head).map_or("", |account| &account.name),
-        class,
-        bytes: body.len(),
-        arrived: clock::now(),
-        deadline,
-        objective: route.objective.unwrap_or(DEFAULT_OBJECTIVE),
+        demand: Demand {
+            class,
+            account: access::account(head).map_or("", |account| &account.name),
+            route: &route.name,
+            bytes: body.len(),
+            arrived: clock::now(),
+            deadline,
+            objective: route.objective.unwrap_or(DEFAULT_OBJECTIVE),
+            was_refused: false,
+            spread: rand::random(),
+        },
     };
-    let is_queued = is_queued(node, route, &service);
+    let is_single = matches!(route.kind, RouteKind::Idempotent | RouteKind::Once);
+    let is_queued = is_single && admission::is_queued(node, &service);
     let mut place = None;
-    let mut was_refused = false;
     // Servers that were tried, or whose request limit does not admit the request.
     let mut excluded: Vec<ServerId> = Vec::new();
     let mut tries = 0;
@@ -130,7 +135,7 @@
         fingerprint(&[header_text(&head.headers, &header::HOST).as_bytes(), path, &body]);
     let response = loop {
         if is_queued && place.is_none() {
-            match Place::wait(node, applicant, was_refused).await {
+            match Place::wait(node, applicant).await {
                 Ok(admitted) => place = Some(admitted),
                 Err(refusal) => {
                     break full_response(responses::short_of_room(refusal.retry_after));
@@ -184,7 +189,8 @@
                 continue;
             }
             if is_contested && runs == 0 && permit_delay.is_none() && tries > 0 {
-                (place, was_refused) = (None, true);
+                place = None;
+                (applicant.demand.was_refused, applicant.demand.spread) = (true, rand::random());
                 (excluded, tries) = (Vec::new(), 0);
                 continue;
             }
@@ -228,7 +234,7 @@
                 AttemptOutcome::Response(response) => {
                     node.suspects.borrow_mut().on_answer(request_fingerprint);
                     if let Some(place) = &place {
-                        place.on_answer(end.sent_at, applicant.objective);
+                        place.on_answer(end.sent_at, applicant.demand.objective);
                     }
                     answer = Some(response);
                     "answered".to_owned()
@@ -275,13 +281,6 @@
     response
 }
 
-/// Returns whether requests of a route wait while their service is short of room. Model servers queue
-/// requests by themselves, in the order that suits their batches.
-fn is_queued(node: &Node, route: &Route, service: &str) -> bool {
-    let is_single = matches!(route.kind, RouteKind::Idempotent | RouteKind::Once);
-    is_single && !node.desired().is_some_and(|desired| desired.has_models(service))
-}
-
 /// Returns whether more than one server may run a request. A stream that may be resumed has passed on
 /// no event when an attempt fails.
 pub fn may_repeat(route: &Route) -> bool {
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use buckthornfall_core::{
+    admission_queue::Demand,
     backends::{Ended, ServerQuery, SoftwareChoice},
     job::{ScoreEnd, Scorer},
     permits::PermitClass,
@@ -13,7 +14,7 @@
 use log::info;
 
 use super::{
-    admission::{Applicant, Place},
+    admission::{self, Applicant, Place},
     clock,
     forward::DEFAULT_OBJECTIVE,
     node::Node,
@@ -65,22 +66,29 @@
         route_timeout.min(route_timeout / FIRST_ATTEMPT_DIVISOR * 2u32.pow(tries.min(4)));
     let applicant = Applicant {
         service: &service,
-        route: &route.name,
         id: &scorer.id,
-        account: "",
-        class,
-        bytes: scorer.body.len(),
-        arrived: clock::now(),
-        deadline: clock::now() + ADMISSION_PATIENCE,
-        objective: route.objective.unwrap_or(DEFAULT_OBJECTIVE),
+        demand: Demand {
+            class,
+            account: "",
+            route: &route.name,
+            bytes: scorer.body.len(),
+            arrived: clock::now(),
+            deadline: clock::now() + ADMISSION_PATIENCE,
+            objective: route.objective.unwrap_or(DEFAULT_OBJECTIVE),
+            was_refused: false,
+            spread: rand::random(),
+        },
     };
-    let place = match Place::wait(node, applicant, false).await {
-        Ok(place) => place,
-        Err(refusal) => {
-            let retry_after = refusal.retry_after;
-            let detail = format!("no room: {}", refusal.reason.name());
-            return (ScoreEnd::Denied { retry_after }, String::new(), detail);
-        }
+    let place = match admission::is_queued(node, &service) {
+        false => None,
+        true => match Place::wait(node, applicant).await {
+            Ok(place) => Some(place),
+            Err(refusal) => {
+                let retry_after = refusal.retry_after;
+                let detail = format!("no room: {}", refusal.reason.name());
+                return (ScoreEnd::Denied { retry_after }, String::new(), detail);
+            }
+        },
     };
     let query = ServerQuery {
         service: &service,
@@ -131,7 +139,9 @@
     let end = match (proof, status) {
         (Some(proof), status) if status.is_success() && echoed => {
             ended(Ended::Answered(took));
-            place.on_answer(started, applicant.objective);
+            if let Some(place) = &place {
+                place.on_answer(started, applicant.demand.objective);
+            }
             ScoreEnd::Scored(proof.to_owned())
         }
         (_, StatusCode::INTERNAL_SERVER_ERROR) if echoed => {
