Duties: one type each for times and orders, rows read once, and no wake-ups without duties

The settings and the wire had copies of core's ReportTimes and CapacityOrder; they use those now, and counting a request no longer clones the settings. The holder read the daemons' counts of a window a second time to remove them; it removes what it has read, and what comes later goes with the next window. Daemons without duties looked for them five times a second; now at the interval of the settings. The end of a window shorter than 0.42 s was wrong, as its number exceeds 32 bits; the test of it failed before.

--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -12,6 +12,8 @@
 /// Numbers of requests by client account.
 pub type Counts = BTreeMap<AccountName, u64>;
 
+const NANOS_PER_SECOND: u128 = 1_000_000_000;
+
 /// Returns the window that contains the time `since_epoch`.
 pub fn window_at(since_epoch: Duration, length: Duration) -> Window {
     let window = since_epoch.as_nanos() / length.as_nanos().max(1);
@@ -20,8 +22,9 @@
 
 /// Returns when a window ends, as a time since the start of 1970.
 pub fn window_end(window: Window, length: Duration) -> Duration {
-    let next = u32::try_from(window + 1).unwrap_or(u32::MAX);
-    length * next
+    let nanos = length.as_nanos().saturating_mul(u128::from(window) + 1);
+    let seconds = u64::try_from(nanos / NANOS_PER_SECOND).unwrap_or(u64::MAX);
+    Duration::new(seconds, (nanos % NANOS_PER_SECOND) as u32)
 }
 
 /// Adds counts of one part to those of the whole.
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -18,6 +18,9 @@
     let windows = [0, 4_999, 5_000, 1_767_225_600_123].map(|ms| usage::window_at(at(ms), WINDOW));
     assert_eq!(windows, [0, 0, 1, 353_445_120]);
     assert_eq!(usage::window_end(353_445_120, WINDOW), at(1_767_225_605_000));
+    let short = at(100);
+    let window = usage::window_at(at(1_767_225_600_123), short);
+    assert_eq!(usage::window_end(window, short), at(1_767_225_600_200));
 }
 
 #[test]
--- a/crates/daemon/src/hosted/capacity.rs
+++ b/crates/daemon/src/hosted/capacity.rs
@@ -8,10 +8,7 @@
     duties::CallEnd,
     Now,
 };
-use buckthornfall_platform::{
-    duties::{self as wire, ServerOrder},
-    settings::DutySettings,
-};
+use buckthornfall_platform::{duties as wire, settings::DutySettings};
 use buckthornfall_proto::{
     ids::{Fence, ServiceName},
     messages::JobState,
@@ -19,7 +16,7 @@
 use log::info;
 use tokio::time::sleep;
 
-use super::{clock, node::Node};
+use super::{clock, node::Node, reload};
 
 /// Interval between decisions.
 const DECISION_INTERVAL: Duration = Duration::from_millis(500);
@@ -39,15 +36,17 @@
 async fn run(node: Rc<Node>) {
     let mut services = Services::default();
     loop {
+        let duties = node.settings().duties.clone().filter(|duties| duties.orders_servers);
+        let Some(duties) = duties else {
+            sleep(reload::POLL_INTERVAL).await;
+            continue;
+        };
         sleep(DECISION_INTERVAL).await;
         let fence = node.duties.borrow().call_fence(clock::now());
         if fence != services.term {
             services = Services { term: fence, ..Services::default() };
         }
-        let duties = node.settings().duties.clone().filter(|duties| duties.orders_servers);
-        let (Some(duties), Some(_), Some(desired)) = (duties, fence, node.desired()) else {
-            continue;
-        };
+        let (Some(_), Some(desired)) = (fence, node.desired()) else { continue };
         for service in &desired.services {
             let Some(scaling) = &service.scaling else { continue };
             let (capacity, last) = services.by_name.entry(service.name.clone()).or_default();
@@ -134,12 +133,11 @@
         capacity.on_end(clock::now(), order, CallEnd::NotSent, Duration::ZERO);
         return;
     }
-    let CapacityOrder { group, servers } = order;
-    let spot = group.kind == ServerKind::Spot;
-    let request = ServerOrder { service, zone: &group.zone, servers: *servers, spot };
-    let end = node.duty_client.call(node, duties, |duty| wire::order_servers(duty, &request)).await;
+    let build = |duty: &wire::Duty| wire::order_servers(duty, service, order);
+    let end = node.duty_client.call(node, duties, build).await;
     let quiet = node.settings().lease;
     capacity.on_end(clock::now(), order, end, quiet);
-    info!(service, zone = group.zone.as_str(), spot, servers, outcome:? = end;
+    let CapacityOrder { group, servers } = order;
+    info!(service, zone = group.zone.as_str(), spot = group.kind == ServerKind::Spot, servers, outcome:? = end;
         "servers_ordered");
 }
--- a/crates/daemon/src/hosted/reload.rs
+++ b/crates/daemon/src/hosted/reload.rs
@@ -9,7 +9,7 @@
 use super::node::Node;
 
 /// Interval at which the file is read without a signal.
-const POLL_INTERVAL: Duration = Duration::from_secs(2);
+pub const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Applies changes of the settings file until the daemon stops.
 pub async fn watch(node: Rc<Node>, mut changed: Signal) {
--- a/crates/daemon/src/hosted/usage.rs
+++ b/crates/daemon/src/hosted/usage.rs
@@ -14,10 +14,7 @@
     store::{RowKey, RowVersion, StoreTx, StoredRow, TxEnd},
     usage::{self, Counts, ReportTimes, Window},
 };
-use buckthornfall_platform::{
-    duties::{self as wire},
-    settings::DutySettings,
-};
+use buckthornfall_platform::{duties as wire, settings::DutySettings};
 use buckthornfall_proto::{
     digest::fingerprint,
     messages::{UsageCursorRow, UsageRow},
@@ -26,7 +23,7 @@
 use log::{info, warn};
 use tokio::time::sleep;
 
-use super::{access, clock, node::Node, rows};
+use super::{access, clock, node::Node, reload, rows};
 
 /// Interval between checks whether a window can be reported.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -48,10 +45,8 @@
     tokio::task::spawn_local(report(Rc::clone(node)));
 }
 
-fn report_times(node: &Node) -> Option<(DutySettings, ReportTimes)> {
-    let duties = node.settings().duties.clone()?;
-    let usage = duties.usage?;
-    Some((duties, ReportTimes { window: usage.window, due: usage.due }))
+fn report_times(node: &Node) -> Option<ReportTimes> {
+    node.settings().duties.as_ref()?.usage
 }
 
 /// Returns the time since the start of 1970.
@@ -67,7 +62,7 @@
 /// client account or usage is not reported.
 pub fn count(node: &Node, head: &request::Parts, transit: Duration) -> Option<Counted> {
     let account = access::account(head)?;
-    let (_, times) = report_times(node)?;
+    let times = report_times(node)?;
     let window = usage::window_at(since_epoch() + transit, times.window);
     node.tally.borrow_mut().on_sent(window, &account.name);
     Some(Counted(window))
@@ -83,8 +78,8 @@
 async fn save_counts(node: Rc<Node>) {
     let token = format!("{:016x}", rand::random::<u64>());
     loop {
-        let Some((_, times)) = report_times(&node) else {
-            sleep(CHECK_INTERVAL).await;
+        let Some(times) = report_times(&node) else {
+            sleep(reload::POLL_INTERVAL).await;
             continue;
         };
         save(&node, &token).await;
@@ -135,17 +130,21 @@
 async fn report(node: Rc<Node>) {
     let mut cursor = None;
     loop {
+        let duties = node.settings().duties.clone();
+        let (Some(duties), Some(times)) = (duties, report_times(&node)) else {
+            sleep(reload::POLL_INTERVAL).await;
+            continue;
+        };
         sleep(CHECK_INTERVAL).await;
-        let may_call = node.duties.borrow().call_fence(clock::now()).is_some();
-        let Some((settings, times)) = report_times(&node).filter(|_| may_call) else {
+        if node.duties.borrow().call_fence(clock::now()).is_none() {
             cursor = None;
             continue;
-        };
+        }
         let Some(next) = cursor else {
             cursor = read_cursor(&node, times).await;
             continue;
         };
-        cursor = report_next(&node, &settings, times, next).await;
+        cursor = report_next(&node, &duties, times, next).await;
     }
 }
 
@@ -211,7 +210,7 @@
     match end {
         CallEnd::Accepted => {
             let next = move_cursor(node, cursor.version, window + 1).await;
-            remove_until(node, window, total.key).await;
+            remove(node, total).await;
             next
         }
         CallEnd::Refused => {
@@ -228,19 +227,21 @@
 struct Total {
     key: RowKey,
     counts: Counts,
+    /// Rows that it was added up from, and those of earlier windows; none if an earlier holder of the
+    /// duty stored it.
+    parts: Vec<RowKey>,
 }
 
 /// Returns the stored total of the window at the cursor; stores it if there is none yet.
 async fn stored_total(node: &Node, cursor: Cursor) -> Option<Total> {
     let key = RowKey::new(rows::USAGE, TOTALS, &format!("{:012}", cursor.next));
     if let Some(row) = node.store.row(&key).await.ok()? {
-        return Some(Total { counts: decode_counts(&row)?, key });
+        return Some(Total { counts: decode_counts(&row)?, key, parts: Vec::new() });
     }
     let mut counts = Counts::new();
-    for row in count_rows_until(node, cursor.next).await? {
-        if row_window(&row) == Some(cursor.next) {
-            usage::add(&mut counts, &decode_counts(&row)?);
-        }
+    let rows = count_rows_until(node, cursor.next).await?;
+    for row in rows.iter().filter(|row| row_window(row) == Some(cursor.next)) {
+        usage::add(&mut counts, &decode_counts(row)?);
     }
     counts.retain(|_, count| *count > 0);
     let row = UsageRow { counts: counts.clone().into_iter().collect() };
@@ -250,7 +251,8 @@
         remove: Vec::new(),
     };
     let end = node.store.transact(&tx).await;
-    matches!(end, TxEnd::Committed(_)).then_some(Total { key, counts })
+    let parts = rows.into_iter().map(|row| row.key).collect();
+    matches!(end, TxEnd::Committed(_)).then_some(Total { key, counts, parts })
 }
 
 fn decode_counts(row: &StoredRow) -> Option<Counts> {
@@ -273,17 +275,15 @@
     Some(found)
 }
 
-/// Removes the counts of a window that has been reported and of earlier ones. What is left over is
-/// removed with a later window.
-async fn remove_until(node: &Node, window: Window, total: RowKey) {
-    let counts = count_rows_until(node, window).await.unwrap_or_default();
+/// Removes the rows of a window that has been reported. What is left over is removed with a later one.
+async fn remove(node: &Node, total: Total) {
     for part in 0..COUNT_PARTS {
         let name = part_name(part);
-        let of_part = counts.iter().filter(|row| row.key.part == name);
-        let remove: Vec<_> = of_part.map(|row| row.key.clone()).take(MAX_REMOVED_ROWS).collect();
+        let of_part = total.parts.iter().filter(|key| key.part == name);
+        let remove: Vec<_> = of_part.take(MAX_REMOVED_ROWS).cloned().collect();
         if !remove.is_empty() {
             node.store.transact(&StoreTx::remove(remove)).await;
         }
     }
-    node.store.transact(&StoreTx::remove(vec![total])).await;
+    node.store.transact(&StoreTx::remove(vec![total.key])).await;
 }
