--- a/crates/daemon/src/hosted/duties.rs
+++ b/crates/daemon/src/hosted/duties.rs
@@ -31,7 +31,7 @@
     rows,
 };
 
-/// Name of the lease; it was first that of the weight controller alone.
+/// Name of the lease, for which daemons of earlier versions compete as well.
 const LEASE_NAME: &str = "weights";
 /// Number of daemons that compete for the lease.
 const LEASE_CANDIDATES: usize = 3;
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -1,6 +1,6 @@
 //! Handling of the HTTP requests on the daemon's listeners.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use buckthornfall_core::{
     desired::{Route, RouteKind},
@@ -221,21 +221,28 @@
     let Some(desired) = node.desired() else {
         return full_response(responses::not_run("no desired state is known yet"));
     };
-    let (id, host) =
-        (header_text(&head.headers, &headers::ATTEMPT), header_text(&head.headers, &header::HOST));
+    let host = header_text(&head.headers, &header::HOST);
     let Some(route) = desired.route(host, head.uri.path()) else {
+        let id = header_text(&head.headers, &headers::ATTEMPT);
         info!(request = id, host, path = head.uri.path(), version = desired.version; "no_route");
         return full_response(responses::error(
             StatusCode::NOT_FOUND,
             "no route takes this host and path",
         ));
     };
-    if let Err(refusal) = access::admit(node, &desired, route, head) {
-        return full_response(*refusal);
+    match access::admit(node, &desired, route, head) {
+        Ok(()) => serve_on_route(node, route, head, body).await,
+        Err(refusal) => full_response(*refusal),
     }
-    let head = &*head;
-    let (id, host) =
-        (header_text(&head.headers, &headers::ATTEMPT), header_text(&head.headers, &header::HOST));
+}
+
+async fn serve_on_route(
+    node: &Rc<Node>,
+    route: &Arc<Route>,
+    head: &request::Parts,
+    body: HeldBody,
+) -> Response<ResponseBody> {
+    let id = header_text(&head.headers, &headers::ATTEMPT);
     if let Some(left) = node.time_to_exit() {
         let late = late_request(node, route, head);
         if !late.can_end(left) {
@@ -251,6 +258,7 @@
         let path = head.uri.path();
         let target = head.uri.path_and_query().map_or(path, |target| target.as_str());
         let timeout = route.timeout.unwrap_or(DEFAULT_TIMEOUT).min(request_timeout(&head.headers));
+        let host = header_text(&head.headers, &header::HOST);
         let submission = Submission { id, host, path: target, account: access::account(head) };
         let accept = submissions::accept(node, route, submission, body.bytes);
         let response = full_response(submissions::with_timeout(timeout, accept).await);
--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -297,7 +297,7 @@
     Partial,
 }
 
-/// Opens a socket whose buffers do not grow, as what lies in it counts as memory of the process
+/// Opens a socket whose buffers do not grow, as what lies in them counts as memory of the process
 /// where responses wait for their callers.
 async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -255,8 +255,10 @@
     ) {
         let Some((sample, policy)) = self.jobs.sample(job, index) else { return };
         let entry = self.node.backends.borrow().get(&server).cloned();
-        let row = self.node.jobs.borrow().get(job).map(|job| job.row.clone());
-        let (Some(entry), Some(row)) = (entry, row) else {
+        let jobs = self.node.jobs.borrow();
+        let sender = jobs.get(job).map(|job| (job.row.host.clone(), job.row.account.clone()));
+        drop(jobs);
+        let (Some(entry), Some((host, account))) = (entry, sender) else {
             // The server or the job was removed after the server was chosen.
             self.node.with_runner(move |runner, cx| runner.on_run_end(cx, run, &RunEnd::Refused));
             return;
@@ -265,9 +267,9 @@
             run,
             job: job.to_owned(),
             server: entry,
-            host: row.host,
+            host,
             has_accounts: self.node.desired().is_some_and(|desired| desired.accounts.is_some()),
-            account: row.account,
+            account,
             priority: policy.priority,
             sample: sample.clone(),
             after,
--- a/xtask/src/names_check.rs
+++ b/xtask/src/names_check.rs
@@ -17,7 +17,7 @@
 }
 
 /// Names that are specific to the platform's messages; letter case is ignored.
-const PLATFORM_NAMES: [&str; 19] = [
+const PLATFORM_NAMES: [&str; 23] = [
     "BUCKTHORNFALL_BOOT",
     "x-attempt-id",
     "x-deadline-ms",
@@ -27,6 +27,10 @@
     "x-weight-versions",
     "server-leaving",
     "server-limit",
+    "api-key",
+    "x-tenant",
+    "x-duty-holder",
+    "x-fencing-token",
     "/v1/lots",
     "/v1/items",
     "/v1/resolve",
