Logs tell what a change of the desired state did, and by which version work was sent

Callers saw a request handled by an older version. The logs had neither the routes and keys that a version added or dropped, nor how late it was installed at most, nor the version and the age of the operator's table by which a run, a scoring request or a caller's request was decided and sent. No change of logic.

--- a/crates/core/src/accounts.rs
+++ b/crates/core/src/accounts.rs
@@ -116,6 +116,11 @@
     pub fn keys(&self) -> usize {
         self.by_digest.len()
     }
+
+    /// Returns the number of keys that `other` lacks.
+    pub fn keys_missing_in(&self, other: &Accounts) -> usize {
+        self.by_digest.keys().filter(|digest| !other.by_digest.contains_key(*digest)).count()
+    }
 }
 
 fn is_header_char(c: char) -> bool {
--- a/crates/core/src/desired.rs
+++ b/crates/core/src/desired.rs
@@ -164,6 +164,48 @@
     }
 }
 
+/// Routes and keys that differ between two versions of the desired state.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Changes {
+    /// Names of the routes whose host and prefix are new.
+    pub added: Vec<String>,
+    /// Names of the routes of which anything else is new.
+    pub changed: Vec<String>,
+    /// Names that the routes had whose host and prefix are gone.
+    pub dropped: Vec<String>,
+    /// Number of keys that are new.
+    pub keys_added: usize,
+    /// Number of keys that are gone.
+    pub keys_dropped: usize,
+}
+
+impl Desired {
+    /// Returns what differs from an earlier version.
+    pub fn changes_since(&self, earlier: &Desired) -> Changes {
+        let (own, other) = (self.routes_by_match(), earlier.routes_by_match());
+        let mut changes = Changes::default();
+        for (matched, route) in &own {
+            match other.get(matched) {
+                None => changes.added.push(route.name.clone()),
+                Some(earlier) if earlier != route => changes.changed.push(route.name.clone()),
+                Some(_) => {}
+            }
+        }
+        let dropped = other.iter().filter(|(matched, _)| !own.contains_key(*matched));
+        changes.dropped.extend(dropped.map(|(_, route)| route.name.clone()));
+        let none = Accounts::default();
+        let [own, other] =
+            [self, earlier].map(|desired| desired.accounts.as_ref().unwrap_or(&none));
+        changes.keys_added = own.keys_missing_in(other);
+        changes.keys_dropped = other.keys_missing_in(own);
+        changes
+    }
+
+    fn routes_by_match(&self) -> BTreeMap<(&str, &str), &Arc<Route>> {
+        self.routes.iter().map(|route| ((&*route.host, &*route.prefix), route)).collect()
+    }
+}
+
 /// The desired state in force; its version never decreases.
 #[derive(Debug, Default)]
 pub struct InForce {
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -224,7 +224,8 @@
     let host = header_text(&head.headers, &header::HOST);
     let Some(route) = desired.route(host, head.uri.path()) else {
         let id = header_text(&head.headers, &headers::ATTEMPT);
-        info!(request = id, host, path = head.uri.path(), version = desired.version; "no_route");
+        info!(request = id, host, path = head.uri.path(), version = desired.version,
+            desired_ms:? = node.desired_age_ms(); "no_route");
         return full_response(responses::error(
             StatusCode::NOT_FOUND,
             "no route takes this host and path",
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -4,7 +4,7 @@
 
 use buckthornfall_core::{
     accounts::Accounts,
-    desired::Desired,
+    desired::{Changes, Desired},
     readiness::Table,
     store::{FeedEnd, RowKey, RowPage, RowVersion, StoredRow},
     Now,
@@ -195,10 +195,16 @@
     let (version, routes) = (desired.version, desired.routes.len());
     let keys = desired.accounts.as_ref().map(Accounts::keys);
     let problems = desired.problems.clone();
+    let earlier = node.desired();
     if !node.desired.borrow_mut().install(desired) {
         return;
     }
-    info!(version, routes, keys:? = keys, row_version; "desired_state_installed");
+    let installed = node.desired().zip(earlier);
+    let changes = installed.map(|(desired, earlier)| desired.changes_since(&earlier));
+    let Changes { added, changed, dropped, keys_added, keys_dropped } = changes.unwrap_or_default();
+    // The change was confirmed after the read before this one was sent.
+    info!(version, routes, keys:? = keys, row_version, late_ms:? = node.desired_age_ms(), added:? = added, changed:? = changed,
+        dropped:? = dropped, keys_added, keys_dropped; "desired_state_installed");
     for problem in problems {
         warn!(version, problem; "desired_state_problem");
     }
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -95,6 +95,7 @@
     let HeldBody { bytes: mut body, hold } = body;
     let id = header_text(&head.headers, &headers::ATTEMPT).to_owned();
     let deadline = request_deadline(node, route, &head.headers);
+    let (decided_by, desired_ms) = (node.desired_version(), node.desired_age_ms());
     let scoped = match streams::scope(node, route, head, &body).await {
         Ok(scoped) => scoped,
         Err(reason) => return full_response(responses::not_run(reason)),
@@ -277,7 +278,7 @@
         .increment(1);
     let account = access::account(head).map(|account| account.name.as_str());
     info!(request = id.as_str(), route = route.name.as_str(), account:? = account, status, tries, runs,
-        took_ms = took.as_millis() as u64; "request_answered");
+        decided_by, desired_ms:? = desired_ms, took_ms = took.as_millis() as u64; "request_answered");
     response
 }
 
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -10,7 +10,7 @@
 use buckthornfall_core::{
     accounts::KeyFreshness,
     backends::{Backend, Backends, Location, ServerQuery},
-    desired::{Desired, InForce},
+    desired::{Desired, DesiredVersion, InForce},
     duties::Duties,
     held_bytes::HeldBytes,
     job::JobId,
@@ -71,15 +71,23 @@
 pub struct OpenJob {
     /// Age of what is known of the jobs.
     known_for: Duration,
+    /// Version of the desired state that was in force.
+    pub desired_version: DesiredVersion,
+    /// Age of what is known of the desired state, in milliseconds.
+    pub desired_ms: Option<u64>,
 }
 
 impl OpenJob {
     /// Returns the age of what is known of the jobs in milliseconds, for logs.
     pub fn known_ms(&self) -> u64 {
-        u64::try_from(self.known_for.as_millis()).unwrap_or(u64::MAX)
+        millis(self.known_for)
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Why no work of a job may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum WorkWithheld {
@@ -272,6 +280,16 @@
         self.desired.borrow().get().cloned()
     }
 
+    /// Returns the version of the desired state in force; 0 if none is known.
+    pub fn desired_version(&self) -> DesiredVersion {
+        self.desired.borrow().get().map_or(0, |desired| desired.version)
+    }
+
+    /// Returns the age of what is known of the desired state in milliseconds, for logs.
+    pub fn desired_age_ms(&self) -> Option<u64> {
+        self.key_freshness.borrow().age(clock::now()).map(millis)
+    }
+
     /// Returns whether this daemon has lost a service that another daemon reaches.
     pub fn is_cut_off(&self) -> bool {
         let host = &self.settings.borrow().host;
@@ -464,7 +482,11 @@
             return Err(WorkWithheld::Stale);
         }
         let known_for = self.job_freshness.borrow().age(clock::now()).unwrap_or_default();
-        Ok(OpenJob { known_for })
+        Ok(OpenJob {
+            known_for,
+            desired_version: self.desired_version(),
+            desired_ms: self.desired_age_ms(),
+        })
     }
 
     /// Returns whether what is known of the jobs is recent enough to send work of them.
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -133,7 +133,8 @@
         }
         let saved_events: usize = saved.values().map(Text::events).sum();
         info!(job = id, samples = spec.samples.len(), listed = listed.len(), saved_events, model = spec.model.as_str(),
-            min_version = spec.min_version; "job_opened");
+            min_version = spec.min_version, service = policy.service.as_str(), decided_by = self.node.desired_version();
+            "job_opened");
         let token = format!("{:016x}", rand::random::<u64>());
         self.progress_tokens.insert(id.to_owned(), token);
         self.jobs.open(clock::now(), id, spec, policy, &listed, saved);
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -66,6 +66,7 @@
 
 /// Sends one scoring request.
 pub async fn request_score(node: &Rc<Node>, req: ScoreRequest<'_>) -> ScoreEnd {
+    let decided_by = node.desired_version();
     let Scored { end, server, known, detail } = exchange(node, req).await;
     let outcome = match end {
         ScoreEnd::Scored(_) => "scored",
@@ -75,7 +76,8 @@
     };
     metrics::counter!("scores_total", "outcome" => outcome).increment(1);
     info!(job = req.job, request = req.scorer.id.as_str(), server, known_ms:? = known.map(|known| known.known_ms()),
-        outcome:? = end, detail; "scored");
+        decided_by, sent_by:? = known.map(|known| known.desired_version),
+        desired_ms:? = known.and_then(|known| known.desired_ms), outcome:? = end, detail; "scored");
     end
 }
 
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -344,6 +344,8 @@
         log::info!(job = self.job.as_str(), sample = self.sample.as_str(), run = self.run,
             server = self.server.as_str(), software = self.software.as_str(), after:? = self.after, events = self.events,
             known_ms:? = self.known.map(|known| known.known_ms()),
+            sent_by:? = self.known.map(|known| known.desired_version),
+            desired_ms:? = self.known.and_then(|known| known.desired_ms),
             first_ms:? = first_ms, took_ms, outcome, detail; "run_ended");
     }
 }
