A call to the store that runs out of time closes the idle connections

Callers saw routes and keys of an older version, and 404 for a route that had been added, at a daemon in touch. After all connections to the store fell silent, each call took the next idle one and lost a timeout of 1.6 to 2.2 s on it; then came the probes of 0.4 s each. With 16 idle connections a change was not known 4.05 s after the fault. The first call that runs out of time now closes the idle connections to the store, so that the next call opens one.

a_daemon_whose_connections_fell_silent_reads_a_change_in_time failed before with 404 for the added route.

--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -393,6 +393,11 @@
         idle.entry(conn.addr).or_default().push(Idle { conn, until });
     }
 
+    /// Closes all idle connections to `addr`.
+    pub fn close_idle(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
     /// Closes connections whose idle timeout has passed.
     pub fn sweep(&self) {
         let now = Instant::now();
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -322,6 +322,10 @@
             Ok(reply) => report_refusal(&uri, &body, reply, "direct"),
             Err(e) => report_unanswered(&uri, &body, e),
         }
+        if matches!(reply, Err(Error::TimedOut { .. })) {
+            // The others may have fallen silent too, and each one that is tried costs a timeout.
+            self.pool.close_idle(self.addr.get());
+        }
         let change = served.and_then(|served| self.relay.borrow_mut().on_direct(served));
         match change {
             Some(Change::Started) => {
