Work of a job is sent only where its route leads as it is sent

Servers got samples and scoring requests on routes that had been dropped or moved long before. The route of a job was resolved once, when its owner opened it, and that of a scoring request before it waited for a place, a permit and a connection.

Open jobs take their policy again when a version is installed; one whose route is gone starts no runs. Each request asks right before it is written whether its route still leads to the service, and is decided again if not.

Ruled out: giving the samples up, which could not be taken back if the route returns.

--- a/crates/core/src/desired.rs
+++ b/crates/core/src/desired.rs
@@ -78,6 +78,15 @@
         }
         &self.targets[0].service
     }
+
+    /// Returns whether requests may go to a service.
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut weighted = self.targets.iter().filter(|target| target.weight > 0).peekable();
+        match weighted.peek() {
+            Some(_) => weighted.any(|target| target.service == service),
+            None => self.targets[0].service == service,
+        }
+    }
 }
 
 /// Limits and prices of the servers that may be ordered for a service.
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -74,6 +74,8 @@
 struct Job {
     spec: JobSpec,
     policy: JobPolicy,
+    /// Whether a route takes the job; if not, no runs of it are started.
+    has_route: bool,
     samples: Vec<Sample>,
     log: log::ResultLog,
     /// Sample indices in start order.
@@ -160,7 +162,8 @@
             .collect();
         let long_sample_tokens = order::long_sample_tokens(&spec);
         let log = log::ResultLog::default();
-        let mut job = Job { spec, policy, samples, log, start_order, long_sample_tokens };
+        let mut job =
+            Job { spec, policy, has_route: true, samples, log, start_order, long_sample_tokens };
         job.on_listed(listed);
         self.jobs.insert(id.to_owned(), job);
     }
@@ -183,6 +186,17 @@
         std::mem::replace(&mut self.is_held, is_held) != is_held
     }
 
+    /// Replaces the policy of an open job; `None` if no route takes the job any more. Returns whether its runs
+    /// now go to another service, or stop or start to go anywhere.
+    pub fn set_policy(&mut self, id: &str, policy: Option<JobPolicy>) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else { return false };
+        let had_route = std::mem::replace(&mut job.has_route, policy.is_some());
+        let Some(policy) = policy else { return had_route };
+        let is_moved = job.policy.service != policy.service;
+        job.policy = policy;
+        is_moved || !had_route
+    }
+
     /// Returns whether this daemon runs the job.
     pub fn is_open(&self, id: &str) -> bool {
         self.jobs.contains_key(id)
--- a/crates/core/src/job/runs.rs
+++ b/crates/core/src/job/runs.rs
@@ -107,7 +107,8 @@
         plan: &Plan,
         out: &mut Vec<JobAction>,
     ) {
-        let mut ids: Vec<_> = self.jobs.keys().cloned().collect();
+        let with_route = self.jobs.iter().filter(|(_, job)| job.has_route);
+        let mut ids: Vec<_> = with_route.map(|(id, _)| id.clone()).collect();
         ids.sort_by_key(|id| (self.jobs[id].policy.priority, self.jobs[id].policy.accepted));
         for id in ids {
             for position in 0..self.jobs[&id].start_order.len() {
@@ -279,7 +280,8 @@
     let model = &job.spec.model;
     let class = PermitClass::job(job.policy.priority);
     let eligible = |id: &ServerId| {
-        backends.usable(now, id)
+        job.has_route
+            && backends.usable(now, id)
             && backends.permit_wait(now, id, class).is_zero()
             && backends.get(id).is_some_and(|entry| {
                 entry.service == job.policy.service
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -208,6 +208,7 @@
     for problem in problems {
         warn!(version, problem; "desired_state_problem");
     }
+    node.with_runner(|runner, cx| runner.on_desired(cx));
 }
 
 fn on_server_row(node: &Rc<Node>, row: &StoredRow) {
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -97,6 +97,20 @@
     /// The job may have ended since its row was read.
     #[snafu(display("the job may have ended since it was read"))]
     Stale,
+    /// The desired state has changed since the service was chosen.
+    #[snafu(display("the route leads no longer to the service"))]
+    Rerouted,
+}
+
+/// Where a request of a job goes.
+#[derive(Debug, Clone, Copy)]
+pub struct Destination<'a> {
+    /// Host header by which its route was chosen.
+    pub host: &'a str,
+    /// Path and query by which its route was chosen.
+    pub target: &'a str,
+    /// Service of the server.
+    pub service: &'a str,
 }
 
 /// The actors, with the handles that tasks use to run code on them.
@@ -126,6 +140,7 @@
         match self {
             WorkWithheld::NotOpen => "not_open",
             WorkWithheld::Stale => "stale",
+            WorkWithheld::Rerouted => "rerouted",
         }
     }
 }
@@ -458,9 +473,14 @@
         row.state == JobState::Open && row.owner == self.settings.borrow().host
     }
 
-    /// Checks that a job is open here, for a request of it that is sent at once.
-    pub fn check_open(&self, id: &str) -> Result<OpenJob, WorkWithheld> {
-        let open = self.find_open(id);
+    /// Checks that a job is open here and that the route of a request of it still leads to the service, for
+    /// a request that is sent at once.
+    pub fn check_open(
+        &self,
+        id: &str,
+        destination: Destination<'_>,
+    ) -> Result<OpenJob, WorkWithheld> {
+        let open = self.find_open(id, destination);
         match &open {
             Ok(open) => {
                 metrics::histogram!("job_knowledge_age_seconds")
@@ -473,7 +493,7 @@
         open
     }
 
-    fn find_open(&self, id: &str) -> Result<OpenJob, WorkWithheld> {
+    fn find_open(&self, id: &str, destination: Destination<'_>) -> Result<OpenJob, WorkWithheld> {
         let is_owned = self.jobs.borrow().get(id).is_some_and(|job| self.owns(&job.row));
         if !is_owned || self.job_ends.is_requested(id) {
             return Err(WorkWithheld::NotOpen);
@@ -481,6 +501,9 @@
         if !self.may_send_work() {
             return Err(WorkWithheld::Stale);
         }
+        if !self.leads_to(destination) {
+            return Err(WorkWithheld::Rerouted);
+        }
         let known_for = self.job_freshness.borrow().age(clock::now()).unwrap_or_default();
         Ok(OpenJob {
             known_for,
@@ -489,6 +512,14 @@
         })
     }
 
+    fn leads_to(&self, destination: Destination<'_>) -> bool {
+        let Destination { host, target, service } = destination;
+        let path = target.split('?').next().unwrap_or_default();
+        let desired = self.desired();
+        let route = desired.as_ref().and_then(|desired| desired.route(host, path));
+        route.is_some_and(|route| route.leads_to(service))
+    }
+
     /// Returns whether what is known of the jobs is recent enough to send work of them.
     pub fn may_send_work(&self) -> bool {
         self.job_freshness.borrow().may_send(clock::now())
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -7,7 +7,7 @@
     job::{AppendEnd, Batch, JobAction, JobId, Jobs, ProgressWrite, RunEnd, RunId, ScoreEnd, Text},
     store::{StoreFailure, StoreTx, TxEnd},
 };
-use buckthornfall_proto::messages::ResultRow;
+use buckthornfall_proto::messages::{JobRow, ResultRow};
 use log::info;
 use rustc_hash::{FxHashMap, FxHashSet};
 use stakker::{after, CX};
@@ -19,7 +19,7 @@
     rows,
     score::{self, ScoreRequest},
     stream::{self, Event, RunRequest},
-    submissions::LoadedJob,
+    submissions::{self, LoadedJob},
 };
 
 /// Interval between scheduling passes when no event triggers one, and between attempts to read a
@@ -141,6 +141,20 @@
         self.advance(Vec::new());
     }
 
+    /// Applies the desired state in force to the open jobs.
+    pub fn on_desired(&mut self, _: CX![]) {
+        let ids: Vec<_> = self.jobs.ids().cloned().collect();
+        for id in ids {
+            let row = self.node.jobs.borrow().get(&id).map(|job| job.row.clone());
+            let policy = row.and_then(|row| submissions::policy(&self.node, &id, &row));
+            let service = policy.as_ref().map(|policy| policy.service.clone());
+            if self.jobs.set_policy(&id, policy) {
+                info!(job = id, service:? = service, version = self.node.desired_version(); "job_rerouted");
+            }
+        }
+        self.advance(Vec::new());
+    }
+
     /// Records a newly named version of a model.
     pub fn on_named(&mut self, _: CX![], model: &str, version: u64) {
         self.jobs.on_named(clock::now(), model, version);
@@ -283,9 +297,9 @@
         let Some((sample, policy)) = self.jobs.sample(job, index) else { return };
         let entry = self.node.backends.borrow().get(&server).cloned();
         let jobs = self.node.jobs.borrow();
-        let sender = jobs.get(job).map(|job| (job.row.host.clone(), job.row.account.clone()));
+        let row = jobs.get(job).map(|job| job.row.clone());
         drop(jobs);
-        let (Some(entry), Some((host, account))) = (entry, sender) else {
+        let (Some(entry), Some(JobRow { host, path, account, .. })) = (entry, row) else {
             // The server or the job was removed after the server was chosen.
             self.node.with_runner(move |runner, cx| runner.on_run_end(cx, run, &RunEnd::Refused));
             return;
@@ -295,6 +309,7 @@
             job: job.to_owned(),
             server: entry,
             host,
+            job_target: path,
             has_accounts: self.node.desired().is_some_and(|desired| desired.accounts.is_some()),
             account,
             priority: policy.priority,
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -20,7 +20,7 @@
     forward::DEFAULT_OBJECTIVE,
     http::{self as client, Error},
     in_flight::InFlight,
-    node::{Node, OpenJob},
+    node::{Destination, Node, OpenJob},
     paths, permits,
 };
 
@@ -163,7 +163,8 @@
             return Scored::not_sent(ScoreEnd::NoAnswer, &server.id, e);
         }
     };
-    let known = match node.check_open(job) {
+    let destination = Destination { host: &scorer.host, target: &scorer.path, service: &service };
+    let known = match node.check_open(job, destination) {
         Ok(known) => known,
         Err(e) => {
             node.servers.put(conn);
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -23,7 +23,7 @@
     clock,
     hold::Hold,
     http::{self as client, Connection},
-    node::{Node, OpenJob},
+    node::{Destination, Node, OpenJob},
     paths,
     permits::{self, Verification, VerifyError},
 };
@@ -48,6 +48,8 @@
     pub job: String,
     pub server: Backend,
     pub host: String,
+    /// Path and query at which the job was submitted.
+    pub job_target: String,
     /// Client account that submitted the job.
     pub account: Option<AccountName>,
     /// Whether requests need keys; samples then show no other account.
@@ -125,7 +127,9 @@
         Ok(message) => message,
         Err(e) => return fail(RunEnd::Impossible, e),
     };
-    match node.check_open(&req.job) {
+    let destination =
+        Destination { host: &req.host, target: &req.job_target, service: &req.server.service };
+    match node.check_open(&req.job, destination) {
         Ok(known) => run_log.known = Some(known),
         Err(e) => {
             node.servers.put(conn);
--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -261,7 +261,8 @@
     Some(LoadedJob { spec, policy, listed, saved: job::restore_texts(&saved) })
 }
 
-fn policy(node: &Node, id: &str, row: &JobRow) -> Option<JobPolicy> {
+/// Returns the policy of a job by the desired state in force; `None` if no route takes the job.
+pub fn policy(node: &Node, id: &str, row: &JobRow) -> Option<JobPolicy> {
     let desired = node.desired()?;
     let path = row.path.split('?').next().unwrap_or_default();
     let route = desired.route(&row.host, path)?;
