No request is decided by a desired state that may be older than the bound

Callers got 404 for routes and 401 for keys that had been added, or were served on routes that had been dropped, by a daemon whose reads of the operator's table got no answer, or were applied late for want of processor time. Nothing bounded the age of the routes that a daemon goes by; keys and jobs have a bound.

core::job_freshness is core::freshness now and serves both tables. A request is refused with 503, not run, once the newest read of the operator's table is nearly as old as ConfigApplyMs, unless the store is away; work of jobs waits from three quarters of that on; what is not known gets 404 or 401 only by a recent read. The table is polled five times in the bound where it was polled once a second. The property in core/tests/freshness.rs plays 1,000 days with a deaf feed, a busy daemon, an outage and a pause: none decides late, none refuses without a reason.

Ruled out: refusing at a fixed age, which stops all callers during an outage.

--- a/crates/core/tests/job_freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -1,14 +1,17 @@
-//! An owner stops the work of a job in time after its end, whatever its reads of the jobs go through.
+//! A daemon stops to act by what was changed in time after the change, whatever its reads go through: an owner
+//! ends the work of a job, and no request is decided by an older version of the desired state.
 
 use std::time::Duration;
 
-use buckthornfall_core::{job_freshness::JobFreshness, Now};
+use buckthornfall_core::{freshness::Freshness, Now};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
 const CANCELLATION: Duration = Duration::from_millis(3_000);
 const STEP: Duration = Duration::from_millis(10);
 const DAY: Duration = Duration::from_secs(60);
-/// Time without disturbance after which a daemon must keep the cancellation time.
+/// Time within which a change of the desired state is in force.
+const APPLY: Duration = Duration::from_millis(2_500);
+/// Time without disturbance after which a daemon must keep these times.
 const CONTACT: Duration = Duration::from_secs(4);
 /// Longest duration and timeout of a read of the jobs' rows.
 const READ_TIME: Duration = Duration::from_millis(550);
@@ -20,6 +23,14 @@
 const CALL_TIME: Duration = Duration::from_millis(600);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+fn may_send(freshness: &Freshness, now: Now) -> bool {
+    freshness.may_act(now, CANCELLATION / 2)
+}
+
+fn may_decide(freshness: &Freshness, now: Now) -> bool {
+    freshness.may_act(now, APPLY / 40)
+}
+
 /// A span of time.
 #[derive(Debug, Clone, Copy)]
 struct Span {
@@ -53,8 +64,10 @@
     outage: Span,
     /// The process does not run.
     pause: Span,
-    /// When another daemon stores the end of the job.
+    /// When the change is stored, for example the end of a job.
     end: Now,
+    /// Time within which the change must be in effect.
+    bound: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -77,7 +90,7 @@
 }
 
 impl Day {
-    fn random(seed: u64) -> Day {
+    fn random(seed: u64, bound: Duration) -> Day {
         let mut rng = SmallRng::seed_from_u64(seed);
         Day {
             deaf: Span::random(&mut rng, 15_000),
@@ -85,6 +98,7 @@
             outage: Span::random(&mut rng, 12_000),
             pause: Span::random(&mut rng, 8_000),
             end: Duration::from_millis(rng.random_range(5_000..50_000)),
+            bound,
         }
     }
 
@@ -92,9 +106,9 @@
         !self.outage.overlaps(call.sent_at, at + STEP)
     }
 
-    fn play(&self, seed: u64, may_send: impl Fn(&JobFreshness, Now) -> bool) -> Outcome {
+    fn play(&self, seed: u64, may_send: impl Fn(&Freshness, Now) -> bool) -> Outcome {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut freshness = JobFreshness::new(CANCELLATION);
+        let mut freshness = Freshness::new(self.bound);
         let mut outcome = Outcome::default();
         let (mut contact_at, mut knows_end) = (Now::ZERO, false);
         let (mut read, mut call): (Option<Call>, Option<Call>) = (None, None);
@@ -146,7 +160,7 @@
         let disturbances = [self.outage, self.pause];
         let is_in_touch =
             !disturbances.iter().any(|d| d.overlaps(now.saturating_sub(CONTACT), now));
-        outcome.late += usize::from(sends && is_in_touch && now > self.end + CANCELLATION);
+        outcome.late += usize::from(sends && is_in_touch && now > self.end + self.bound);
         if now >= self.end {
             return;
         }
@@ -155,7 +169,7 @@
             let from = from.saturating_sub(CONTACT);
             others.iter().all(|span| !span.overlaps(from, now))
         };
-        let is_settled = now >= self.outage.from + CANCELLATION / 2 + CALL_TIME;
+        let is_settled = now >= self.outage.from + self.bound / 2 + CALL_TIME;
         if self.outage.contains(now) && is_settled && calm_since(self.outage.from) {
             outcome.outage_steps += 1;
             outcome.outage_sent += usize::from(sends);
@@ -167,10 +181,10 @@
     }
 }
 
-fn play_all(may_send: impl Fn(&JobFreshness, Now) -> bool) -> Outcome {
+fn play_all(bound: Duration, may_send: impl Fn(&Freshness, Now) -> bool) -> Outcome {
     let mut total = Outcome::default();
     for seed in 0..1_000 {
-        let outcome = Day::random(seed).play(seed, &may_send);
+        let outcome = Day::random(seed, bound).play(seed, &may_send);
         total.late += outcome.late;
         total.outage_steps += outcome.outage_steps;
         total.outage_sent += outcome.outage_sent;
@@ -182,7 +196,7 @@
 
 #[test]
 fn no_work_is_sent_later_than_the_cancellation_time_after_an_end() {
-    let outcome = play_all(JobFreshness::may_send);
+    let outcome = play_all(CANCELLATION, may_send);
     assert_eq!(outcome.late, 0);
     assert_eq!(outcome.calm_sent, outcome.calm_steps, "work is held without a reason");
     assert_eq!(outcome.outage_sent, outcome.outage_steps, "work is held while nobody can end jobs");
@@ -191,9 +205,23 @@
 
 #[test]
 fn work_without_a_bound_on_what_is_known_is_sent_too_late() {
-    assert!(play_all(|_, _| true).late > 0);
-    let bounded_twice = play_all(|freshness, now| {
-        freshness.may_send(now) || freshness.age(now).is_some_and(|age| age < 2 * CANCELLATION)
+    assert!(play_all(CANCELLATION, |_, _| true).late > 0);
+    let bounded_twice = play_all(CANCELLATION, |freshness, now| {
+        may_send(freshness, now) || freshness.age(now).is_some_and(|age| age < 2 * CANCELLATION)
     });
     assert!(bounded_twice.late > 0);
 }
+
+#[test]
+fn no_request_is_decided_by_a_version_that_a_change_replaced_longer_ago_than_the_bound() {
+    let outcome = play_all(APPLY, may_decide);
+    assert_eq!(outcome.late, 0);
+    assert_eq!(outcome.calm_sent, outcome.calm_steps, "requests are refused without a reason");
+    assert_eq!(outcome.outage_sent, outcome.outage_steps, "requests are refused during an outage");
+    assert!(outcome.calm_steps > 100_000 && outcome.outage_steps > 10_000, "{outcome:?}");
+}
+
+#[test]
+fn requests_without_a_bound_on_what_is_known_are_decided_by_an_old_version() {
+    assert!(play_all(APPLY, |_, _| true).late > 0);
+}
--- a/crates/daemon/src/hosted/access.rs
+++ b/crates/daemon/src/hosted/access.rs
@@ -41,6 +41,8 @@
     let denied = match check.account(now, keys) {
         Ok(account) => return Ok(Some(Arc::clone(account))),
         Err(_) if is_public => return Ok(None),
+        // The key may have been added since.
+        Err(Denied::UnknownKey) if !node.is_desired_recent() => Denied::Stale,
         Err(denied) => denied,
     };
     let reason = match denied {
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -132,6 +132,9 @@
         metrics::gauge!("service_silence_seconds", "service" => service.clone())
             .set(silence.as_secs_f64());
     }
+    if let Some(age) = node.desired_freshness.borrow().age(now) {
+        metrics::gauge!("desired_state_age_seconds").set(age.as_secs_f64());
+    }
     if let Some(age) = node.key_freshness.borrow().age(now) {
         metrics::gauge!("keys_age_seconds").set(age.as_secs_f64());
     }
@@ -222,8 +225,15 @@
         return full_response(responses::not_run("no desired state is known yet"));
     };
     let host = header_text(&head.headers, &header::HOST);
-    let Some(route) = desired.route(host, head.uri.path()) else {
-        let id = header_text(&head.headers, &headers::ATTEMPT);
+    let route = desired.route(host, head.uri.path());
+    let id = header_text(&head.headers, &headers::ATTEMPT);
+    if !node.may_decide() || (route.is_none() && !node.is_desired_recent()) {
+        info!(request = id, host, version = desired.version, desired_ms:? = node.desired_age_ms(); "desired_state_stale");
+        metrics::counter!("requests_denied_total", "reason" => "stale_desired_state").increment(1);
+        let reason = "this host may have missed a change of the desired state";
+        return full_response(close_connection(responses::not_run(reason)));
+    }
+    let Some(route) = route else {
         info!(request = id, host, path = head.uri.path(), version = desired.version,
             desired_ms:? = node.desired_age_ms(); "no_route");
         return full_response(responses::error(
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -31,6 +31,9 @@
 const CONFIRMING_LONG_POLL: Duration = Duration::from_millis(400);
 /// Part of the cancellation time of jobs for which the store holds a request for changes of their rows.
 const JOB_POLL_DIVISOR: u32 = 10;
+/// Part of the bound of the desired state for which the store holds a request for changes of it; what is known
+/// is up to two such requests old.
+const DESIRED_POLL_DIVISOR: u32 = 5;
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -52,8 +55,9 @@
 fn long_poll(node: &Node, table: Table) -> Duration {
     match table {
         Table::Operator if node.settings().revocation.is_some() => CONFIRMING_LONG_POLL,
+        Table::Operator => LONG_POLL.min(node.settings().desired_bound / DESIRED_POLL_DIVISOR),
         Table::Fleet => LONG_POLL.min(node.settings().cancellation / JOB_POLL_DIVISOR),
-        Table::Operator | Table::Servers => LONG_POLL,
+        Table::Servers => LONG_POLL,
     }
 }
 
@@ -132,7 +136,10 @@
             node.fleet_read_at.set(sent_at);
             node.job_freshness.borrow_mut().on_read(sent_at);
         }
-        Table::Operator => node.key_freshness.borrow_mut().on_read(sent_at),
+        Table::Operator => {
+            node.key_freshness.borrow_mut().on_read(sent_at);
+            node.desired_freshness.borrow_mut().on_read(sent_at);
+        }
         Table::Servers => node.servers_read_at.set(sent_at),
     }
 }
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -12,9 +12,9 @@
     backends::{Backend, Backends, Location, ServerQuery},
     desired::{Desired, DesiredVersion, InForce},
     duties::Duties,
+    freshness::Freshness,
     held_bytes::HeldBytes,
     job::JobId,
-    job_freshness::JobFreshness,
     members::Members,
     origins::Origins,
     peer_choice::PeerChoice,
@@ -97,6 +97,9 @@
     /// The job may have ended since its row was read.
     #[snafu(display("the job may have ended since it was read"))]
     Stale,
+    /// The desired state may have changed since it was read.
+    #[snafu(display("the desired state may have changed since it was read"))]
+    DesiredStale,
     /// The desired state has changed since the service was chosen.
     #[snafu(display("the route leads no longer to the service"))]
     Rerouted,
@@ -140,6 +143,7 @@
         match self {
             WorkWithheld::NotOpen => "not_open",
             WorkWithheld::Stale => "stale",
+            WorkWithheld::DesiredStale => "desired_stale",
             WorkWithheld::Rerouted => "rerouted",
         }
     }
@@ -153,6 +157,8 @@
     pub servers: ServerClient,
     pub metrics: PrometheusHandle,
     pub desired: RefCell<InForce>,
+    /// How recent the desired state is.
+    pub desired_freshness: RefCell<Freshness>,
     /// How recent the keys of the desired state are.
     pub key_freshness: RefCell<KeyFreshness>,
     /// The lease on the duties, as this daemon holds it.
@@ -179,7 +185,7 @@
     pub limit_rows: RefCell<FxHashMap<ServerId, Now>>,
     pub jobs: RefCell<FxHashMap<JobId, KnownJob>>,
     /// How recent the rows of jobs are.
-    pub job_freshness: RefCell<JobFreshness>,
+    pub job_freshness: RefCell<Freshness>,
     /// Ends of jobs that may not be stored yet.
     pub job_ends: JobEnds,
     /// Jobs that are being read from the store.
@@ -221,6 +227,13 @@
     pub actors: OnceCell<Actors>,
 }
 
+/// Part of the bound of the desired state in which a daemon decides no more by it, as clocks of hosts run at
+/// slightly different rates.
+const CLOCK_LEAD_DIVISOR: u32 = 40;
+/// Part of the bound of the desired state that is left for the way of a job's request to its server.
+const WORK_LEAD_DIVISOR: u32 = 4;
+/// Part of the cancellation time that is left for the same.
+const JOB_LEAD_DIVISOR: u32 = 2;
 /// Interval between attempts to store the leaving row of a server.
 const LEAVING_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -237,6 +250,7 @@
             servers: ServerClient::default(),
             metrics,
             desired: RefCell::default(),
+            desired_freshness: RefCell::new(Freshness::new(settings.desired_bound)),
             key_freshness: RefCell::default(),
             duties: RefCell::default(),
             duty_client: DutyClient::default(),
@@ -254,7 +268,7 @@
             members: RefCell::new(Members::new(settings.host.clone())),
             limit_rows: RefCell::default(),
             jobs: RefCell::default(),
-            job_freshness: RefCell::new(JobFreshness::new(settings.cancellation)),
+            job_freshness: RefCell::new(Freshness::new(settings.cancellation)),
             job_ends: JobEnds::default(),
             loading: RefCell::default(),
             plan: RefCell::default(),
@@ -302,7 +316,19 @@
 
     /// Returns the age of what is known of the desired state in milliseconds, for logs.
     pub fn desired_age_ms(&self) -> Option<u64> {
-        self.key_freshness.borrow().age(clock::now()).map(millis)
+        self.desired_freshness.borrow().age(clock::now()).map(millis)
+    }
+
+    /// Returns whether requests may be decided by the desired state in force.
+    pub fn may_decide(&self) -> bool {
+        may_act(&self.desired_freshness, clock::now(), CLOCK_LEAD_DIVISOR)
+    }
+
+    /// Returns whether the desired state in force is recent. If it is not, a route or a key that it lacks may
+    /// have been added.
+    pub fn is_desired_recent(&self) -> bool {
+        let freshness = self.desired_freshness.borrow();
+        freshness.is_recent(clock::now(), freshness.bound() / CLOCK_LEAD_DIVISOR)
     }
 
     /// Returns whether this daemon has lost a service that another daemon reaches.
@@ -498,13 +524,17 @@
         if !is_owned || self.job_ends.is_requested(id) {
             return Err(WorkWithheld::NotOpen);
         }
-        if !self.may_send_work() {
+        let now = clock::now();
+        if !may_act(&self.job_freshness, now, JOB_LEAD_DIVISOR) {
             return Err(WorkWithheld::Stale);
         }
+        if !may_act(&self.desired_freshness, now, WORK_LEAD_DIVISOR) {
+            return Err(WorkWithheld::DesiredStale);
+        }
         if !self.leads_to(destination) {
             return Err(WorkWithheld::Rerouted);
         }
-        let known_for = self.job_freshness.borrow().age(clock::now()).unwrap_or_default();
+        let known_for = self.job_freshness.borrow().age(now).unwrap_or_default();
         Ok(OpenJob {
             known_for,
             desired_version: self.desired_version(),
@@ -520,9 +550,12 @@
         route.is_some_and(|route| route.leads_to(service))
     }
 
-    /// Returns whether what is known of the jobs is recent enough to send work of them.
+    /// Returns whether what is known of the jobs and of the desired state is recent enough to send work of
+    /// the jobs.
     pub fn may_send_work(&self) -> bool {
-        self.job_freshness.borrow().may_send(clock::now())
+        let now = clock::now();
+        may_act(&self.job_freshness, now, JOB_LEAD_DIVISOR)
+            && may_act(&self.desired_freshness, now, WORK_LEAD_DIVISOR)
     }
 
     /// Stops the work of a job here; `reason` is for the log.
@@ -551,6 +584,12 @@
     }
 }
 
+/// Returns whether work may be sent by what is known, if a part of the bound is left for its way.
+fn may_act(freshness: &RefCell<Freshness>, now: Now, lead_divisor: u32) -> bool {
+    let freshness = freshness.borrow();
+    freshness.may_act(now, freshness.bound() / lead_divisor)
+}
+
 /// Returns whether a server refused a request for want of room.
 fn is_full<B>(response: &Response<B>) -> bool {
     response.status() == StatusCode::SERVICE_UNAVAILABLE
--- a/crates/daemon/src/hosted/peer_forward.rs
+++ b/crates/daemon/src/hosted/peer_forward.rs
@@ -394,6 +394,9 @@
     let Ok(Ok(body)) = timeout(wait.unwrap_or_default(), body).await else {
         return refuse("the body did not arrive whole");
     };
+    if !node.may_decide() {
+        return refuse("this host may have missed a change of the desired state");
+    }
     let host = header_text(&head.headers, &header::HOST);
     let Some(route) = desired.route(host, head.uri.path()) else {
         return refuse("no route takes this host and path");
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -63,6 +63,7 @@
         after!(TICK_INTERVAL, [cx], tick());
         let replied_at = self.node.store.last_reply();
         self.node.job_freshness.borrow_mut().on_tick(clock::now(), replied_at);
+        self.node.desired_freshness.borrow_mut().on_tick(clock::now(), replied_at);
         self.advance(Vec::new());
     }
 
@@ -250,7 +251,7 @@
             let now = clock::now();
             let known_ms =
                 self.node.job_freshness.borrow().age(now).map(|age| age.as_millis() as u64);
-            info!(held = is_held, known_ms:? = known_ms, jobs = self.jobs.ids().count(); "job_work_held");
+            info!(held = is_held, known_ms:? = known_ms, desired_ms:? = self.node.desired_age_ms(), jobs = self.jobs.ids().count(); "job_work_held");
         }
     }
 
