A daemon that the store turns away knows 24 daemons that may relay its calls

Callers at such a daemon got 404 for routes that had been added, and were served by tables of 5 to 6 s of age, while the store served the other daemons: all six daemons that might relay its calls were turned away as well.

24 relays, and a connection to a daemon that does not answer is given up after 0.5 s, where it took the whole time of the call.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -300,8 +300,9 @@
 /// Difference of the store write latency up to which daemons count as equally near to the store:
 /// above the difference between zones of a region, below the one between regions.
 const STORE_LATENCY_TOLERANCE_MS: u32 = 8;
-/// Maximum number of daemons that may relay calls for one that the store refuses.
-const MAX_RELAYS: usize = 6;
+/// Maximum number of daemons that may relay calls for one that the store refuses: enough that the store
+/// serves one of them while it turns half of all daemons away.
+const MAX_RELAYS: usize = 24;
 /// Rank key for the choice of entry daemons.
 const ENTRY_RANK_KEY: u64 = 0;
 /// Minimum number of entry addresses: after the loss of two at once, callers still have a choice.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -109,6 +109,8 @@
 const MAX_EXCHANGES: usize = 64;
 /// Timeout of an exchange in either direction.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of connecting to another daemon: many times the round trip between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Initial flow control window of an HTTP/2 stream.
 const WINDOW_BYTES: u32 = 1024 * 1024;
 /// Flow control window of a connection that carries messages.
@@ -290,7 +292,9 @@
         if let Some(sender) = self.open.lock().await.get(address) {
             return Ok(sender.clone());
         }
-        let socket = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
+        let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let socket = socket.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let socket = socket.context(ConnectSnafu { address })?;
         socket.set_nodelay(true).context(ConnectSnafu { address })?;
         let (sender, connection) = h2::client::Builder::new()
             .initial_window_size(self.windows.0)
