Responses with a status code that ends no request are not passed on

Callers got a response with status 101, and one with 600, as an answer with the server's proof. Such a response is none now: a request that may run again goes to another server, the others get 502.

responses_with_odd_status_codes_are_not_passed_on failed before with (101, proof), and with (600, proof) where 101 was left out. The other three tests passed before.

--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -11,7 +11,7 @@
 use buckthornfall_platform::headers;
 use buckthornfall_proto::{digest::fingerprint, ids::Fingerprint};
 use bytes::Bytes;
-use http::{header, HeaderMap, HeaderValue, Request, Response};
+use http::{header, HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -71,6 +71,14 @@
         /// Address of the peer.
         addr: SocketAddr,
     },
+    /// The status code is not one of a final response.
+    #[snafu(display("an answer with the status {status} from {addr}"))]
+    InvalidStatus {
+        /// Address of the peer.
+        addr: SocketAddr,
+        /// The status code.
+        status: StatusCode,
+    },
     /// No complete response was received within the timeout.
     #[snafu(display("no answer from {addr} within {timeout:?}"))]
     TimedOut {
@@ -219,6 +227,11 @@
             self.idle_timeout = Duration::ZERO;
             return MismatchedSnafu { addr }.fail();
         }
+        let status = response.status();
+        if !is_final(status) {
+            self.idle_timeout = Duration::ZERO;
+            return InvalidStatusSnafu { addr, status }.fail();
+        }
         self.idle_timeout = idle_timeout(&response);
         Ok(response)
     }
@@ -312,6 +325,12 @@
     response.headers().get(headers::ATTEMPT).is_some_and(|echoed| Some(echoed) != id)
 }
 
+/// Returns whether a status code is one of a final response: HTTP defines none from 600 on, and 101 begins
+/// another protocol.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether a response is delimited by its framing, not by the end of its connection.
 pub fn is_delimited(headers: &HeaderMap) -> bool {
     let names = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
