A job that is read while a version is installed takes the policy of that version

Its runs were withheld for good, as its route led no longer to its service: the policy was taken before the reads of the job, and the job opened after the version was installed. A job also stays at its service while a split route still leads there, where a new weight would have moved it midway.

a_job_that_is_read_while_its_route_is_moved_starts_at_the_new_service failed without the change of Runner::open.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -16,7 +16,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use buckthornfall_proto::{
-    ids::{ServerId, WeightVersion},
+    ids::{ServerId, ServiceName, WeightVersion},
     messages::ResultRow,
 };
 use bytes::Bytes;
@@ -186,6 +186,11 @@
         std::mem::replace(&mut self.is_held, is_held) != is_held
     }
 
+    /// Returns the service that runs the samples of an open job.
+    pub fn service(&self, id: &str) -> Option<&ServiceName> {
+        Some(&self.jobs.get(id)?.policy.service)
+    }
+
     /// Replaces the policy of an open job; `None` if no route takes the job any more. Returns whether its runs
     /// now go to another service, or stop or start to go anywhere.
     pub fn set_policy(&mut self, id: &str, policy: Option<JobPolicy>) -> bool {
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -139,23 +139,28 @@
         let token = format!("{:016x}", rand::random::<u64>());
         self.progress_tokens.insert(id.to_owned(), token);
         self.jobs.open(clock::now(), id, spec, policy, &listed, saved);
+        // A version may have been installed while the job was read.
+        self.refresh_policy(id);
         self.advance(Vec::new());
     }
 
     /// Applies the desired state in force to the open jobs.
     pub fn on_desired(&mut self, _: CX![]) {
         let ids: Vec<_> = self.jobs.ids().cloned().collect();
-        for id in ids {
-            let row = self.node.jobs.borrow().get(&id).map(|job| job.row.clone());
-            let policy = row.and_then(|row| submissions::policy(&self.node, &id, &row));
-            let service = policy.as_ref().map(|policy| policy.service.clone());
-            if self.jobs.set_policy(&id, policy) {
-                info!(job = id, service:? = service, version = self.node.desired_version(); "job_rerouted");
-            }
-        }
+        ids.iter().for_each(|id| self.refresh_policy(id));
         self.advance(Vec::new());
     }
 
+    fn refresh_policy(&mut self, id: &str) {
+        let row = self.node.jobs.borrow().get(id).map(|job| job.row.clone());
+        let current = self.jobs.service(id);
+        let policy = row.and_then(|row| submissions::policy(&self.node, id, &row, current));
+        let service = policy.as_ref().map(|policy| policy.service.clone());
+        if self.jobs.set_policy(id, policy) {
+            info!(job = id, service:? = service, version = self.node.desired_version(); "job_rerouted");
+        }
+    }
+
     /// Records a newly named version of a model.
     pub fn on_named(&mut self, _: CX![], model: &str, version: u64) {
         self.jobs.on_named(clock::now(), model, version);
--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -12,6 +12,7 @@
 use buckthornfall_platform::jobs as wire;
 use buckthornfall_proto::{
     digest::fingerprint,
+    ids::ServiceName,
     messages::{JobRow, JobState, ResultRow},
 };
 use bytes::Bytes;
@@ -237,7 +238,7 @@
 }
 
 async fn load_once(node: &Rc<Node>, id: &str, row: &JobRow) -> Option<LoadedJob> {
-    let policy = policy(node, id, row)?;
+    let policy = policy(node, id, row, None)?;
     let (results, progress) = (rows::result_key(id, 0, 0), RowKey::new(rows::PROGRESS, id, ""));
     let (text, listed, saved) = tokio::join!(
         read_submission(node, id, row),
@@ -261,16 +262,23 @@
     Some(LoadedJob { spec, policy, listed, saved: job::restore_texts(&saved) })
 }
 
-/// Returns the policy of a job by the desired state in force; `None` if no route takes the job.
-pub fn policy(node: &Node, id: &str, row: &JobRow) -> Option<JobPolicy> {
+/// Returns the policy of a job by the desired state in force; `None` if no route takes the job. It stays at
+/// the service `current` while its route leads there.
+pub fn policy(
+    node: &Node,
+    id: &str,
+    row: &JobRow,
+    current: Option<&ServiceName>,
+) -> Option<JobPolicy> {
     let desired = node.desired()?;
     let path = row.path.split('?').next().unwrap_or_default();
     let route = desired.route(&row.host, path)?;
     let account = row.account.as_deref().and_then(|name| desired.accounts.as_ref()?.by_name(name));
     let account_priority = account.and_then(|account| account.priority);
+    let current = current.filter(|current| route.leads_to(current));
     let accepted: Now = node.store.to_local(row.accepted_ms);
     Some(JobPolicy {
-        service: route.target(fingerprint(&[id.as_bytes()])).clone(),
+        service: current.unwrap_or_else(|| route.target(fingerprint(&[id.as_bytes()]))).clone(),
         max_attempts: route.max_attempts,
         priority: account_priority.unwrap_or(route.priority),
         single_version: route.single_version,
