Tests of relays and of the bound ask for as much as before

The test of relays had lost its limit when 24 of 60 replaced 6 of 20: it asks for exactly 24 again, the nearest 19 first. Twice the bound of the desired state must be too late, as for jobs.

--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -224,4 +224,8 @@
 #[test]
 fn requests_without_a_bound_on_what_is_known_are_decided_by_an_old_version() {
     assert!(play_all(APPLY, |_, _| true).late > 0);
+    let bounded_twice = play_all(APPLY, |freshness, now| {
+        may_decide(freshness, now) || freshness.age(now).is_some_and(|age| age < 2 * APPLY)
+    });
+    assert!(bounded_twice.late > 0);
 }
--- a/crates/core/tests/views.rs
+++ b/crates/core/tests/views.rs
@@ -281,15 +281,15 @@
 fn calls_are_relayed_by_the_nearest_live_daemons() {
     let mut members = Members::new("h0".to_owned());
     members.on_contact(NOW);
-    for index in 0..20 {
+    for index in 0..60 {
         let zone = ["zone-a", "zone-b", "zone-c"][index % 3];
         let row =
             MemberRow { zone: zone.to_owned(), peers: format!("{zone}/{index}"), ..member(1) };
         members.on_row(NOW, &format!("h{index}"), row);
     }
     let relays = members.relays(NOW, &location());
-    assert_eq!(relays.len(), 19);
-    let (near, far) = relays.split_at(6);
+    assert_eq!(relays.len(), 24);
+    let (near, far) = relays.split_at(19);
     assert!(near.iter().all(|address| address.starts_with("zone-a")), "{relays:?}");
     assert!(far.iter().all(|address| !address.starts_with("zone-a")), "{relays:?}");
     assert!(!relays.contains(&"zone-a/0".to_owned()), "a daemon must not relay through itself");
