--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod json;
 mod keep_alive;
+mod permit_wait;
 mod poison;
 mod slow_pages;
 mod slow_reader;
@@ -109,6 +110,7 @@
         "usage" => usage::play(&stage),
         "slow-pages" => slow_pages::play(&stage),
         "slow-reader" => slow_reader::play(&stage),
+        "permit-wait" => permit_wait::play(&stage),
         "poison" => poison::play(&stage, poison::Kind::Bodies),
         "poison-query" => poison::play(&stage, poison::Kind::Queries),
         "keep-alive" => keep_alive::play(&stage),
