A usage window keeps its total until the cursor has passed it

Cause: after an accepted report the holder moved the cursor and removed the total and the daemons' counts, whether or not the cursor had moved. Where that write got no reply, the cursor still named the window and its total was gone, so the holder, or the next one, added up what was left.

The transaction that moves the cursor removes the total, and the counts are removed only once the cursor is known to have moved. Ruled out: counts that come late, and two totals of one window.

--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -78,6 +78,7 @@
 
 /// Outcome of a transaction.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[must_use = "a transaction without a reply may be done later, or not at all"]
 pub enum TxEnd {
     /// The transaction was committed with this version.
     Committed(RowVersion),
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -243,7 +243,7 @@
     node.with_runner(move |runner, cx| drop(tx.send(runner.suspend(cx))));
     let saves = rx.await.unwrap_or_default();
     for save in saves {
-        node.store.transact(&save).await;
+        owners::save_progress(node, &save).await;
     }
     owners::hand_over(node).await;
 }
--- a/crates/daemon/src/hosted/owners.rs
+++ b/crates/daemon/src/hosted/owners.rs
@@ -86,12 +86,19 @@
         let job = id.clone();
         node.with_runner(move |runner, cx| drop(tx.send(runner.unsaved(cx, &job))));
         if let Ok(Some(save)) = rx.await {
-            node.store.transact(&save).await;
+            save_progress(node, &save).await;
         }
         change_owner(node, &id, row, version, next).await;
     }
 }
 
+/// Saves the progress of a job that is handed over, if the store takes it at once: the next owner generates again
+/// what is not saved.
+pub async fn save_progress(node: &Node, save: &StoreTx) {
+    let end = node.store.transact(save).await;
+    info!(rows = save.put.len(), outcome:? = end; "job_progress_saved");
+}
+
 /// Hands all jobs of this daemon over to others during a planned stop.
 pub async fn hand_over(node: &Rc<Node>) {
     for (id, KnownJob { row, version }) in node.owned_jobs() {
--- a/crates/daemon/src/hosted/usage.rs
+++ b/crates/daemon/src/hosted/usage.rs
@@ -20,7 +20,7 @@
     messages::{UsageCursorRow, UsageRow},
 };
 use http::request;
-use log::{info, warn};
+use log::{debug, info, warn};
 use tokio::time::sleep;
 
 use super::{access, clock, node::Node, reload, rows};
@@ -173,12 +173,21 @@
             .map(|cursor| Cursor { next: cursor.next.max(oldest), ..cursor });
     }
     let next = usage::window_at(since_epoch(), times.window);
-    move_cursor(node, 0, next).await
+    move_cursor(node, 0, next, Vec::new()).await
 }
 
-async fn move_cursor(node: &Node, version: RowVersion, next: Window) -> Option<Cursor> {
-    let tx = StoreTx::replace(cursor_key(), version, rows::encode(&UsageCursorRow { next }));
-    match node.store.transact(&tx).await {
+/// Moves the cursor from `version` to `next` and removes the reported `totals` with it, so that a window has its
+/// total for as long as the cursor names it. Returns `None` unless the cursor is known to have moved.
+async fn move_cursor(
+    node: &Node,
+    version: RowVersion,
+    next: Window,
+    totals: Vec<RowKey>,
+) -> Option<Cursor> {
+    let replace = StoreTx::replace(cursor_key(), version, rows::encode(&UsageCursorRow { next }));
+    let end = node.store.transact(&StoreTx { remove: totals, ..replace }).await;
+    info!(next, row_version = version, outcome:? = end; "usage_cursor_moved");
+    match end {
         TxEnd::Committed(version) => Some(Cursor { next, version }),
         TxEnd::Conflict(_) | TxEnd::Failed(_) => None,
     }
@@ -209,8 +218,10 @@
     metrics::gauge!("usage_report_delay_seconds").set(late_ms as f64 / 1_000.0);
     match end {
         CallEnd::Accepted => {
-            let next = move_cursor(node, cursor.version, window + 1).await;
-            remove(node, total).await;
+            let next = move_cursor(node, cursor.version, window + 1, vec![total.key]).await;
+            if next.is_some() {
+                remove_counts(node, &total.parts).await;
+            }
             next
         }
         CallEnd::Refused => {
@@ -227,8 +238,7 @@
 struct Total {
     key: RowKey,
     counts: Counts,
-    /// Rows that it was added up from, and those of earlier windows; none if an earlier holder of the
-    /// duty stored it.
+    /// Rows that it was added up from, and those of earlier windows; none if the total was stored before.
     parts: Vec<RowKey>,
 }
 
@@ -275,15 +285,16 @@
     Some(found)
 }
 
-/// Removes the rows of a window that has been reported. What is left over is removed with a later one.
-async fn remove(node: &Node, total: Total) {
+/// Removes the daemons' counts of windows that the cursor has passed. What is left over is removed with a later
+/// window.
+async fn remove_counts(node: &Node, counts: &[RowKey]) {
     for part in 0..COUNT_PARTS {
         let name = part_name(part);
-        let of_part = total.parts.iter().filter(|key| key.part == name);
+        let of_part = counts.iter().filter(|key| key.part == name);
         let remove: Vec<_> = of_part.take(MAX_REMOVED_ROWS).cloned().collect();
         if !remove.is_empty() {
-            node.store.transact(&StoreTx::remove(remove)).await;
+            let end = node.store.transact(&StoreTx::remove(remove)).await;
+            debug!(part = name, outcome:? = end; "usage_counts_removed");
         }
     }
-    node.store.transact(&StoreTx::remove(vec![total.key])).await;
 }
