Pages of results get shorter as the budget for them gets short

Cause: a page of up to 1 MB was one body outside of the budget of held bytes, held until its caller had taken the last byte; bodies of samples were alike.

Pages are held within a share of their own and give it back piece by piece. One takes an eighth of what is free there, and 64 KiB at least, so that callers read on and nobody is refused; only one long result waits, and is refused as not run after 0.7 s. Ruled out: refusing or queueing readers, who need 13 of their 15 s for a whole page.

--- a/crates/core/src/held_bytes.rs
+++ b/crates/core/src/held_bytes.rs
@@ -15,11 +15,14 @@
     Requests,
     /// Events of samples that have not arrived whole.
     Events,
+    /// Results and bodies of samples that callers read.
+    Results,
 }
 
 impl Purpose {
     /// All purposes.
-    pub const ALL: [Purpose; 3] = [Purpose::Responses, Purpose::Requests, Purpose::Events];
+    pub const ALL: [Purpose; 4] =
+        [Purpose::Responses, Purpose::Requests, Purpose::Events, Purpose::Results];
 
     /// Returns the name of the purpose in logs and metrics.
     pub fn name(self) -> &'static str {
@@ -27,6 +30,7 @@
             Purpose::Responses => "responses",
             Purpose::Requests => "requests",
             Purpose::Events => "events",
+            Purpose::Results => "results",
         }
     }
 
@@ -36,6 +40,7 @@
             Purpose::Responses => 6,
             Purpose::Requests => 3,
             Purpose::Events => 24,
+            Purpose::Results => 12,
         }
     }
 }
@@ -47,6 +52,9 @@
 const WAITING_BODY_BYTES: usize = 2 * SHORT_BODY_BYTES;
 /// Part of the share of responses that one of them may take up while its caller reads slowly, as a divisor.
 const READ_AHEAD_DIVISOR: usize = 2;
+/// Part of the free share of results that one page of them may take up, as a divisor. Callers read on where a
+/// page ends, so that shorter pages serve more of them.
+const PAGE_DIVISOR: usize = 8;
 
 /// Bytes held for each purpose.
 ///
@@ -97,6 +105,13 @@
         self.share(Purpose::Responses) / READ_AHEAD_DIVISOR
     }
 
+    /// Returns the maximum size in bytes of the next page of results: `longest`, or less when the budget is
+    /// short. A short body is not counted, so that the budget always allows it.
+    pub fn page_limit(&self, longest: usize) -> usize {
+        let free = self.share(Purpose::Results).saturating_sub(self.held(Purpose::Results));
+        (free / PAGE_DIVISOR).max(SHORT_BODY_BYTES).min(longest)
+    }
+
     /// Returns the bytes held for a purpose.
     pub fn held(&self, purpose: Purpose) -> usize {
         self.held[purpose as usize]
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -25,6 +25,11 @@
     pub fn new(table: &str, part: &str, key: &str) -> RowKey {
         RowKey { table: table.to_owned(), part: part.to_owned(), key: key.to_owned() }
     }
+
+    /// Returns the first key after this one.
+    pub fn next(&self) -> RowKey {
+        RowKey { key: format!("{}\0", self.key), ..self.clone() }
+    }
 }
 
 /// A row as read from the store.
--- a/crates/core/tests/held_bytes.rs
+++ b/crates/core/tests/held_bytes.rs
@@ -1,6 +1,9 @@
 //! Budget of held bytes: a purpose never exceeds its share while several bodies hold some of it.
 
-use buckthornfall_core::held_bytes::{HeldBytes, Purpose};
+use buckthornfall_core::{
+    held_bytes::{HeldBytes, Purpose},
+    server_bytes::SHORT_BODY_BYTES,
+};
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 
 const MEMORY_BYTES: usize = 290_000_000;
@@ -64,3 +67,34 @@
     budget.end_wait();
     assert!(budget.start_wait() && !budget.start_wait());
 }
+
+/// Guards against a budget that refuses pages of results, or gives all of it to the first callers: each next page
+/// is allowed, and shorter the less there is left.
+#[test]
+fn pages_get_shorter_as_the_budget_gets_short_and_none_is_refused() {
+    const LONGEST: usize = 950_000;
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut budget = HeldBytes::new(rng.random_range(100_000_000..500_000_000));
+        let share = budget.share(Purpose::Results);
+        let mut pages: Vec<usize> = Vec::new();
+        for _ in 0..2_000 {
+            if !pages.is_empty() && rng.random_bool(0.3) {
+                let page = pages.swap_remove(rng.random_range(0..pages.len()));
+                assert!(budget.resize(Purpose::Results, page, 0));
+                continue;
+            }
+            let free = share - budget.held(Purpose::Results);
+            let limit = budget.page_limit(LONGEST);
+            assert!((SHORT_BODY_BYTES..=LONGEST).contains(&limit), "seed {seed}");
+            assert!(
+                limit <= SHORT_BODY_BYTES || limit * 8 <= free,
+                "seed {seed}: {limit} of {free}"
+            );
+            let counted = if limit > SHORT_BODY_BYTES { limit } else { 0 };
+            assert!(budget.resize(Purpose::Results, 0, counted), "seed {seed}");
+            pages.push(counted);
+        }
+        assert_eq!(HeldBytes::new(160_000_000).page_limit(LONGEST), LONGEST);
+    }
+}
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -30,6 +30,7 @@
 mod reload;
 mod request_body;
 mod responses;
+mod results;
 mod rows;
 mod runner;
 mod score;
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -26,7 +26,7 @@
     forward::{self, header_text, Arrival},
     hold::{HeldBody, Upload, UploadError},
     node::Node,
-    responses,
+    responses, results,
     submissions::{self, Submission},
 };
 
@@ -58,7 +58,7 @@
         node.requests.set(node.requests.get().saturating_add(1));
     }
     if let Some(api_request) = api_request {
-        return full_response(handle_api_request(&node, api_request, &req).await);
+        return handle_api_request(&node, api_request, &req).await;
     }
     let (mut head, body) = req.into_parts();
     let Some(desired) = node.desired() else {
@@ -149,20 +149,20 @@
     node: &Rc<Node>,
     api_request: ApiRequest,
     req: &Request<Incoming>,
-) -> Response<Bytes> {
+) -> Response<ResponseBody> {
     let left = node.time_to_exit().map(|left| left.saturating_sub(RESPONSE_TIME));
     if left.is_some_and(|left| left < MIN_API_TIME) && api_request != ApiRequest::Ready {
-        return responses::not_run("this daemon exits now");
+        return full_response(responses::not_run("this daemon exits now"));
     }
     let left = left.unwrap_or(Duration::MAX);
     let timeout = request_timeout(req.headers()).min(left);
     match api_request {
-        ApiRequest::Ready => ready(node),
-        ApiRequest::Entries { zone } => entries(node, &zone),
+        ApiRequest::Ready => full_response(ready(node)),
+        ApiRequest::Entries { zone } => full_response(entries(node, &zone)),
         ApiRequest::Results { job, after, wait_ms } => {
             let sender = JobSender::new(node, req.headers());
             let wait = Duration::from_millis(wait_ms).min(left.saturating_sub(MIN_API_TIME));
-            let results = submissions::results(node, &job, sender, after, wait);
+            let results = results::results(node, &job, sender, after, wait);
             submissions::with_timeout(timeout, results).await
         }
         ApiRequest::SampleBody { job, sample } => {
@@ -172,7 +172,8 @@
         }
         ApiRequest::EndJob { job } => {
             let sender = JobSender::new(node, req.headers());
-            submissions::with_timeout(timeout, submissions::end(node, &job, sender)).await
+            let end = async { full_response(submissions::end(node, &job, sender).await) };
+            submissions::with_timeout(timeout, end).await
         }
     }
 }
@@ -279,8 +280,9 @@
         let timeout = route.timeout.unwrap_or(DEFAULT_TIMEOUT).min(request_timeout(&head.headers));
         let host = header_text(&head.headers, &header::HOST);
         let submission = Submission { id, host, path: target, account: access::account(head) };
-        let accept = submissions::accept(node, route, submission, body.bytes);
-        let response = full_response(submissions::with_timeout(timeout, accept).await);
+        let accept =
+            async { full_response(submissions::accept(node, route, submission, body.bytes).await) };
+        let response = submissions::with_timeout(timeout, accept).await;
         return response.map(|body| body.with_duration(duration));
     }
     let response = forward::forward(node, route, head, body, Arrival::Caller).await;
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -40,7 +40,10 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use snafu::Snafu;
 use stakker::{Actor, Deferrer, Stakker};
-use tokio::{sync::Notify, time::sleep};
+use tokio::{
+    sync::{Notify, Semaphore},
+    time::sleep,
+};
 
 use super::{
     admission::{self, Queues},
@@ -50,7 +53,7 @@
     origins::Records,
     paths,
     permits::{self, ServerClient},
-    rows,
+    results, rows,
     runner::Runner,
     store::Store,
     weights::WeightActor,
@@ -220,6 +223,8 @@
     pub admission: RefCell<Queues>,
     /// Bytes of bodies held in memory.
     pub held_bytes: RefCell<HeldBytes>,
+    /// Reads of results that may start.
+    pub result_reads: Semaphore,
     /// Bytes of bodies on their way to servers.
     pub server_bytes: RefCell<ServerBytes>,
     /// Notified when some of either are given back.
@@ -287,6 +292,7 @@
             passed_on: Cell::new(0),
             admission: RefCell::default(),
             held_bytes: RefCell::new(HeldBytes::new(settings.memory_bytes)),
+            result_reads: Semaphore::new(results::MAX_READS),
             server_bytes: RefCell::default(),
             bytes_released: Notify::new(),
             actors: OnceCell::new(),
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -126,6 +126,12 @@
     chunks.iter().enumerate().map(row).collect()
 }
 
+/// Returns the number of rows of the result whose first row this is; 1 if it is invalid.
+pub fn result_rows(first: &StoredRow) -> usize {
+    let count = first.value.as_ref().and_then(|value| value.first());
+    count.map_or(1, |count| usize::from(*count).max(1))
+}
+
 /// Joins rows, sorted by key, into results. Stops at the first incomplete or invalid result.
 pub fn decode_results(rows: &[StoredRow]) -> Vec<ResultRow> {
     let mut results = Vec::new();
--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -147,20 +147,25 @@
 
     /// Returns all rows of a partition with keys from `from` on and before `until`.
     pub async fn rows(&self, from: &RowKey, until: Option<&str>) -> Option<RowPage> {
-        let mut all = self.page(from, until).await?;
+        let mut all = self.page(from, until, None).await?;
         while all.more {
             let last = all.rows.last()?.key.clone();
-            let next = RowKey { key: format!("{}\0", last.key), ..last };
-            let page = self.page(&next, until).await?;
+            let page = self.page(&last.next(), until, None).await?;
             all.rows.extend(page.rows);
             all.more = page.more;
         }
         Some(all)
     }
 
-    /// Returns the first page of the rows with keys from `from` on and before `until`.
-    pub async fn page(&self, from: &RowKey, until: Option<&str>) -> Option<RowPage> {
-        let reply = self.call(wire::rows(self.addr.get(), from, until), CALL_TIMEOUT).await;
+    /// Returns the first page of the rows with keys from `from` on and before `until`, of at most `max_rows`.
+    pub async fn page(
+        &self,
+        from: &RowKey,
+        until: Option<&str>,
+        max_rows: Option<usize>,
+    ) -> Option<RowPage> {
+        let req = wire::rows(self.addr.get(), from, until, max_rows);
+        let reply = self.call(req, CALL_TIMEOUT).await;
         let page = reply.ok().and_then(|reply| match wire::rows_end(&reply) {
             Ok(page) => page,
             Err(e) => {
@@ -177,8 +182,8 @@
 
     /// Reads one row; `Err` if the read failed, `Ok(None)` if the row does not exist.
     pub async fn row(&self, key: &RowKey) -> Result<Option<StoredRow>, StoreFailure> {
-        let until = format!("{}\0", key.key);
-        let page = self.page(key, Some(&until)).await.ok_or(StoreFailure::Refused)?;
+        let until = key.next().key;
+        let page = self.page(key, Some(&until), None).await.ok_or(StoreFailure::Refused)?;
         Ok(page.rows.into_iter().find(|row| row.key.key == key.key))
     }
 
@@ -241,8 +246,8 @@
             return;
         }
         let key = RowKey::new(wire::OPERATOR_TABLE, "", "");
-        let reply =
-            self.call_directly(wire::rows(self.addr.get(), &key, Some("\0")), PROBE_TIMEOUT).await;
+        let req = wire::rows(self.addr.get(), &key, Some("\0"), None);
+        let reply = self.call_directly(req, PROBE_TIMEOUT).await;
         self.probing.set(false);
         drop(reply);
     }
--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -1,10 +1,11 @@
-//! Requests of callers on jobs: submit a job, read its results and sample bodies, and end it.
+//! Requests of callers on jobs: submit a job, read its sample bodies, and end it.
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use buckthornfall_core::{
     accounts::Account,
     desired::Route,
+    held_bytes::Purpose,
     job::{self, JobPolicy, JobSpec, SampleId, Text},
     store::{RowKey, RowVersion, StoreFailure, StoreTx, TxEnd},
     Now,
@@ -23,7 +24,9 @@
 
 use super::{
     access::{JobSender, Refusal},
+    body::{full_response, ResponseBody},
     clock,
+    hold::{Hold, Pieces},
     job_ends::{self, Requester},
     node::Node,
     responses, rows,
@@ -36,15 +39,13 @@
 const MAX_ROWS_BYTES: usize = 600_000;
 /// Interval between reads of the store while waiting for results, and between attempts to load a
 /// job.
-const POLL_INTERVAL: Duration = Duration::from_millis(40);
-/// Maximum time that a request for results waits for new ones.
-const MAX_RESULTS_WAIT: Duration = Duration::from_millis(1_000);
-/// Maximum size of the text in a response with results.
-const MAX_RESULTS_BYTES: usize = 900_000;
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Margin added to the TTL of samples, as the clocks of daemons differ.
 const GIVE_UP_MARGIN: Duration = Duration::from_millis(500);
 /// TTL of samples whose route does not set one.
 const DEFAULT_SAMPLE_TTL: Duration = Duration::from_secs(60);
+/// Maximum wait of a body that is read from the store for the budget.
+const HOLD_PATIENCE: Duration = Duration::from_millis(700);
 /// Maximum number of attempts to write a new job row while the outcome is unknown.
 const MAX_WRITE_ATTEMPTS: u32 = 4;
 
@@ -302,7 +303,11 @@
 }
 
 /// Returns the row of a job that its sender may access, or the refusal.
-async fn accessible_job(node: &Rc<Node>, id: &str, sender: JobSender) -> Result<JobRow, Refusal> {
+pub async fn accessible_job(
+    node: &Rc<Node>,
+    id: &str,
+    sender: JobSender,
+) -> Result<JobRow, Refusal> {
     match job_row(node, id).await {
         Ok(Some((row, _))) => match sender.refusal(row.account.as_deref()) {
             Some(refusal) => Err(refusal),
@@ -313,67 +318,40 @@
     }
 }
 
-/// Responds with the results of a job from position `after` on. Waits up to `wait` for results if
-/// there are none.
-pub async fn results(
-    node: &Rc<Node>,
-    id: &str,
-    sender: JobSender,
-    after: usize,
-    wait: Duration,
-) -> Response<Bytes> {
-    let row = match accessible_job(node, id, sender).await {
-        Ok(row) => row,
-        Err(refusal) => return *refusal,
-    };
-    let total = row.samples as usize;
-    let wait = wait.min(MAX_RESULTS_WAIT);
-    let started = clock::now();
-    loop {
-        let Some(page) = node.store.page(&rows::result_key(id, after, 0), None).await else {
-            return responses::not_run("the store does not answer");
-        };
-        let mut results = rows::decode_results(&page.rows);
-        truncate_results(&mut results);
-        let waited = clock::now().saturating_sub(started);
-        if !results.is_empty() || after >= total || waited + POLL_INTERVAL > wait {
-            return wire::results(total, after, &results);
-        }
-        sleep(POLL_INTERVAL).await;
-    }
-}
-
-/// Truncates the results to what fits one response, but keeps at least one.
-fn truncate_results(results: &mut Vec<ResultRow>) {
-    let mut bytes = 0;
-    let fits = |result: &ResultRow| {
-        bytes += result.text.len();
-        bytes <= MAX_RESULTS_BYTES
-    };
-    let count = results.iter().map(fits).take_while(|fits| *fits).count();
-    results.truncate(count.max(1));
-}
-
 /// Responds with the request body of a sample.
 pub async fn sample_body(
     node: &Rc<Node>,
     id: &str,
     sender: JobSender,
     sample: &str,
-) -> Response<Bytes> {
+) -> Response<ResponseBody> {
     let row = match accessible_job(node, id, sender).await {
         Ok(row) => row,
-        Err(refusal) => return *refusal,
+        Err(refusal) => return full_response(*refusal),
     };
+    // Few objects are read at the same time, whoever needs them.
+    let rows_bytes = row.chunks as usize * node.settings().row_bytes;
+    let mut submission = Hold::new(node, Purpose::Requests);
+    if !submission.wait(rows_bytes, HOLD_PATIENCE).await {
+        return full_response(responses::not_run("too many long bodies at this daemon"));
+    }
     let Some(text) = read_submission(node, id, &row).await else {
-        return responses::not_run("the store does not answer");
+        return full_response(responses::not_run("the store does not answer"));
     };
     let spec = wire::decode_job(&text).ok();
     let found = spec.and_then(|spec| spec.samples.into_iter().find(|s| s.id == sample));
-    match found {
-        Some(sample) => Response::new(sample.body),
-        None => responses::status(StatusCode::NOT_FOUND),
+    let Some(sample) = found else {
+        return full_response(responses::status(StatusCode::NOT_FOUND));
+    };
+    let mut hold = Hold::new(node, Purpose::Results);
+    if !hold.wait(sample.body.len(), HOLD_PATIENCE).await {
+        return full_response(responses::not_run(
+            "too many callers read long bodies at this daemon",
+        ));
     }
+    let mut body = Pieces::new(hold);
+    body.push(sample.body);
+    Response::new(ResponseBody::pieces(body))
 }
 
 /// Ends a job. Responds with 200 only once the end is stored; it is stored later if the caller's time
@@ -407,10 +385,11 @@
 /// Applies the caller's timeout to `call`; responds with 504 when it expires.
 pub async fn with_timeout(
     caller_timeout: Duration,
-    call: impl std::future::Future<Output = Response<Bytes>>,
-) -> Response<Bytes> {
+    call: impl std::future::Future<Output = Response<ResponseBody>>,
+) -> Response<ResponseBody> {
+    let reason = "the store did not answer in time";
     match timeout(caller_timeout, call).await {
         Ok(response) => response,
-        Err(_) => responses::error(StatusCode::GATEWAY_TIMEOUT, "the store did not answer in time"),
+        Err(_) => full_response(responses::error(StatusCode::GATEWAY_TIMEOUT, reason)),
     }
 }
