A crash is the end of a server's start, and counts once for each request

Cause: only an attempt without a response on an unused connection counted as a crash, and connections to servers are mostly used ones. If each lost response counted instead, one crash under forty innocent requests would block them.

A lost response counts once the start of its server is known to have ended: it refuses connections while others of its service answer, or its entry is gone or names another start. Each start counts once for a request. Daemons share the starts (rows crashes/..., with the time of the crash), requests are told apart by method, query and client account too, streams count until their end, and an answer clears the count at all daemons.

--- a/crates/core/src/reachability.rs
+++ b/crates/core/src/reachability.rs
@@ -229,6 +229,12 @@
         lost
     }
 
+    /// Returns whether a server of a service has responded since the time `since`.
+    pub fn has_responded_since(&self, service: &str, since: Now) -> bool {
+        let heard_at = self.services.get(service).and_then(|paths| paths.heard_at);
+        heard_at.is_some_and(|at| at > since)
+    }
+
     /// Returns the time since the last response of each service that has responded.
     pub fn silences(&self, now: Now) -> impl Iterator<Item = (&ServiceName, Duration)> {
         self.services.iter().filter_map(move |(service, paths)| {
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -41,6 +41,7 @@
 mod stream;
 mod streams;
 mod submissions;
+mod suspects;
 mod usage;
 mod weights;
 
--- a/crates/daemon/src/hosted/attempt.rs
+++ b/crates/daemon/src/hosted/attempt.rs
@@ -10,6 +10,7 @@
     Now,
 };
 use buckthornfall_platform::headers;
+use buckthornfall_proto::ids::Fingerprint;
 use bytes::Bytes;
 use http::{header, request, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
@@ -18,7 +19,7 @@
 
 use super::{
     access,
-    body::{BodyEnd, PartialBody, Relay, ResponseBody},
+    body::{BodyEnd, Origin, PartialBody, Relay, ResponseBody},
     clock,
     forward::{header_text, max_permit_patience, may_repeat, HOP_BY_HOP_HEADERS},
     hold::{Hold, Pieces},
@@ -27,6 +28,7 @@
     permits::{Permit, Verification, VerifyError},
     request_body::{BodyGuards, RequestBody},
     streams::{self, Scope, Start},
+    suspects,
     usage::{self, Counted},
 };
 
@@ -63,18 +65,11 @@
     pub reason: String,
     /// The server's error response, to be forwarded if no other attempt succeeds.
     pub response: Option<Response<ResponseBody>>,
-    /// Whether the attempt counts as a crash of the server: it sent no complete response, and the
-    /// connection was not a reused one that had become stale.
-    pub crashed: bool,
 }
 
 impl AttemptOutcome {
     fn failed(reason: impl ToString) -> AttemptOutcome {
-        AttemptOutcome::Failed(Failure {
-            reason: reason.to_string(),
-            response: None,
-            crashed: false,
-        })
+        AttemptOutcome::Failed(Failure { reason: reason.to_string(), response: None })
     }
 }
 
@@ -87,6 +82,7 @@
     /// What the body holds until it is sent.
     pub guards: &'a BodyGuards,
     pub scope: &'a Scope,
+    pub fingerprint: Fingerprint,
     /// Whether no other server may run the request if this attempt fails.
     pub is_last: bool,
     /// Whether any part of the request was sent to the server of this attempt.
@@ -129,10 +125,7 @@
     let now = clock::now();
     let took = now.saturating_sub(started).saturating_sub(node.location.round_trip(&server.zone));
     match end {
-        Ok(Ok((response, conn))) => {
-            let id = req.head.headers.get(headers::ATTEMPT);
-            classify(node, route, guard, response, conn, id, took)
-        }
+        Ok(Ok((response, conn))) => classify(node, req, guard, response, conn, took),
         Ok(Err(ExchangeError::Http(e @ Error::Connect { .. }))) => {
             guard.end(Ended::Failed);
             AttemptOutcome::Unreachable(e.to_string())
@@ -142,8 +135,9 @@
             AttemptOutcome::NotRun(reason)
         }
         Ok(Err(ExchangeError::Incomplete(reason))) => {
+            suspects::on_lost(node, req.fingerprint, &server);
             guard.end(Ended::Failed);
-            AttemptOutcome::Failed(Failure { reason, response: None, crashed: true })
+            AttemptOutcome::failed(reason)
         }
         Ok(Err(ExchangeError::Stalled)) => {
             guard.end(Ended::Failed);
@@ -158,6 +152,9 @@
             AttemptOutcome::failed(e)
         }
         Ok(Err(ExchangeError::Http(e))) => {
+            if e.may_be_crash() {
+                suspects::on_lost(node, req.fingerprint, &server);
+            }
             if e.is_stale_connection() {
                 guard.end(Ended::Cancelled);
                 if let Some(counted) = req.counted.take() {
@@ -166,8 +163,7 @@
                 return AttemptOutcome::failed(e);
             }
             guard.end(Ended::Failed);
-            let (reason, crashed) = (e.to_string(), e.may_be_crash());
-            AttemptOutcome::Failed(Failure { reason, response: None, crashed })
+            AttemptOutcome::failed(e)
         }
         Err(_) => {
             guard.end(Ended::Failed);
@@ -373,13 +369,13 @@
 
 fn classify(
     node: &Rc<Node>,
-    route: &Route,
+    req: CallerRequest<'_>,
     guard: AttemptGuard,
     response: Response<Received>,
     conn: Connection,
-    id: Option<&HeaderValue>,
     took: Duration,
 ) -> AttemptOutcome {
+    let id = req.head.headers.get(headers::ATTEMPT);
     let status = response.status();
     let echoed = response.headers().get(headers::ATTEMPT) == id;
     // Without the id, a response on a reused connection may belong to an earlier request.
@@ -403,19 +399,18 @@
     let body = match body {
         Received::Full(body) => {
             node.servers.put(conn);
+            suspects::on_answer(node, req.fingerprint);
             guard.end(if is_faulty { Ended::Erred } else { Ended::Answered(took) });
             ResponseBody::pieces(body)
         }
-        Received::Partial(partial) => ResponseBody::relay(guard.relay(partial, conn)),
+        Received::Partial(partial) => {
+            ResponseBody::relay(guard.relay(req.fingerprint, partial, conn))
+        }
     };
     let response = Response::from_parts(head, body);
-    if failed && route.kind == RouteKind::Idempotent {
+    if failed && req.route.kind == RouteKind::Idempotent {
         let reason = format!("failed with {}", status.as_u16());
-        return AttemptOutcome::Failed(Failure {
-            reason,
-            response: Some(response),
-            crashed: false,
-        });
+        return AttemptOutcome::Failed(Failure { reason, response: Some(response) });
     }
     AttemptOutcome::Response(response)
 }
@@ -440,9 +435,10 @@
         }
     }
 
-    fn relay(mut self, partial: PartialBody, conn: Connection) -> Relay {
+    fn relay(mut self, request: Fingerprint, partial: PartialBody, conn: Connection) -> Relay {
         let server = self.server.take().expect("the attempt has not ended");
-        Relay::new(&self.node, server, conn, partial, self.deadline)
+        let origin = Origin { server, request };
+        Relay::new(&self.node, origin, conn, partial, self.deadline)
     }
 }
 
--- a/crates/daemon/src/hosted/body.rs
+++ b/crates/daemon/src/hosted/body.rs
@@ -11,7 +11,7 @@
     backends::{Backend, Ended},
     Now,
 };
-use buckthornfall_proto::event_stream::StreamTail;
+use buckthornfall_proto::{event_stream::StreamTail, ids::Fingerprint};
 use bytes::Bytes;
 use http::Response;
 use http_body_util::Full;
@@ -21,7 +21,7 @@
 
 use super::{
     clock, hold::Pieces, http::Connection, node::Node, paths, peer_forward::PeerBody,
-    read_ahead::ReadAhead,
+    read_ahead::ReadAhead, suspects,
 };
 
 /// Counts a request of a caller as in flight until the response has been passed to its connection
@@ -192,11 +192,18 @@
     end: BodyEnd,
     conn: Option<Connection>,
     node: Rc<Node>,
-    server: Backend,
+    origin: Origin,
     /// Aborts the response at the caller's deadline.
     deadline: Pin<Box<Sleep>>,
 }
 
+/// Where a relayed response comes from.
+pub struct Origin {
+    pub server: Backend,
+    /// The request that the server runs.
+    pub request: Fingerprint,
+}
+
 /// Why a relayed response was aborted. The connection to the caller is closed, so that the response
 /// cannot be mistaken for a complete one.
 #[derive(Debug, Snafu)]
@@ -231,7 +238,7 @@
     fn drop(&mut self) {
         // The connection is returned to the pool only at the end of a complete response.
         let outcome = if self.conn.is_some() { Ended::Cancelled } else { Ended::Done };
-        self.node.backends.borrow_mut().ended(clock::now(), &self.server.id, outcome);
+        self.node.backends.borrow_mut().ended(clock::now(), &self.origin.server.id, outcome);
     }
 }
 
@@ -286,10 +293,10 @@
 }
 
 impl Relay {
-    /// Creates the relay of a response of `server`, which is aborted at the time `until`.
+    /// Creates the relay of a response, which is aborted at the time `until`.
     pub fn new(
         node: &Rc<Node>,
-        server: Backend,
+        origin: Origin,
         conn: Connection,
         response: PartialBody,
         until: Now,
@@ -297,10 +304,12 @@
         let deadline = Box::pin(sleep(until.saturating_sub(clock::now())));
         let PartialBody { start, body, end } = response;
         let rest = match end {
-            BodyEnd::Framed => Rest::Ahead(ReadAhead::start(node, &server.service, start, body)),
+            BodyEnd::Framed => {
+                Rest::Ahead(ReadAhead::start(node, &origin.server.service, start, body))
+            }
             BodyEnd::BetweenEvents { .. } => Rest::Events { start, body },
         };
-        Relay { rest, end, conn: Some(conn), node: Rc::clone(node), server, deadline }
+        Relay { rest, end, conn: Some(conn), node: Rc::clone(node), origin, deadline }
     }
 
     /// Returns the size of the rest if the server has stated it and it shows the end.
@@ -326,13 +335,19 @@
         while let Some(frame) = ready!(Pin::new(&mut *body).poll_frame(cx)) {
             let frame = frame.context(ServerSnafu)?;
             if let Ok(data) = frame.into_data() {
-                paths::on_response(&self.node, &self.server.service);
+                paths::on_response(&self.node, &self.origin.server.service);
                 return Poll::Ready(Some(Ok(data)));
             }
         }
         Poll::Ready(None)
     }
 
+    /// Records that the response ended early.
+    fn on_broken(&self, e: RelayError) -> RelayError {
+        suspects::on_lost(&self.node, self.origin.request, &self.origin.server);
+        e
+    }
+
     fn poll_frame(
         &mut self,
         cx: &mut Context<'_>,
@@ -345,11 +360,12 @@
                 self.end.push(&data);
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
-            Some(Err(e)) => Poll::Ready(Some(Err(e))),
+            Some(Err(e)) => Poll::Ready(Some(Err(self.on_broken(e)))),
             None => {
                 if let Err(e) = self.end.check() {
-                    return Poll::Ready(Some(Err(e)));
+                    return Poll::Ready(Some(Err(self.on_broken(e))));
                 }
+                suspects::on_answer(&self.node, self.origin.request);
                 if let Some(conn) = self.conn.take() {
                     self.node.servers.put(conn);
                 }
--- a/crates/daemon/src/hosted/cleanup.rs
+++ b/crates/daemon/src/hosted/cleanup.rs
@@ -6,6 +6,7 @@
     job::JobId,
     retention,
     store::{RowKey, StoreTx, TxEnd},
+    suspects,
 };
 use buckthornfall_proto::messages::MemberState;
 use log::info;
@@ -39,6 +40,7 @@
         }
         remove_stale_leaving_rows(&node).await;
         remove_stale_limit_rows(&node).await;
+        remove_expired_crashes(&node).await;
     }
 }
 
@@ -99,6 +101,23 @@
     }
 }
 
+/// Removes the rows of requests that crashed servers, once their counts have expired.
+async fn remove_expired_crashes(node: &Node) {
+    let keys: Vec<_> = {
+        let now = clock::now();
+        let known = node.suspect_rows.borrow();
+        let expired = known.iter().filter(|(key, read_at)| {
+            now.saturating_sub(**read_at) > suspects::COUNT_TTL && is_responsible(node, key)
+        });
+        let key = |key: &str| RowKey::new(rows::FLEET, "", key);
+        expired.map(|(name, _)| key(name)).take(MAX_REMOVED_ROWS).collect()
+    };
+    if !keys.is_empty() {
+        let end = node.store.transact(&StoreTx::remove(keys)).await;
+        info!(outcome:? = end; "expired_crashes_removed");
+    }
+}
+
 /// Removes the rows and the object of a job. The job's own row is removed last, so that an
 /// interrupted removal is retried.
 async fn remove_job(node: &Rc<Node>, id: &str, job: &KnownJob) {
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -12,13 +12,13 @@
 use buckthornfall_platform::{deployment, servers, store as wire};
 use buckthornfall_proto::{
     ids::ServerId,
-    messages::{JobRow, LeavingRow, LimitRow, MemberRow, SeenRow, SuspectRow},
+    messages::{JobRow, LeavingRow, LimitRow, MemberRow, SeenRow},
 };
 use log::{info, warn};
 use rustc_hash::FxHashSet;
 use tokio::time::sleep;
 
-use super::{clock, node::Node, origins, permits, rows, second_copy};
+use super::{clock, node::Node, origins, permits, rows, second_copy, suspects};
 
 /// Minimum interval between two polls of one table, so that changes arrive in batches.
 pub const FEED_INTERVAL: Duration = Duration::from_millis(25);
@@ -129,7 +129,7 @@
     all
 }
 
-fn on_view(node: &Node, table: Table, sent_at: Now) {
+fn on_view(node: &Rc<Node>, table: Table, sent_at: Now) {
     match table {
         Table::Fleet => {
             node.origins.borrow_mut().on_view(sent_at);
@@ -140,7 +140,10 @@
             node.key_freshness.borrow_mut().on_read(sent_at);
             node.desired_freshness.borrow_mut().on_read(sent_at);
         }
-        Table::Servers => node.servers_read_at.set(sent_at),
+        Table::Servers => {
+            node.servers_read_at.set(sent_at);
+            suspects::check_entries(node);
+        }
     }
 }
 
@@ -272,12 +275,13 @@
         } else if let Some(job) = rows::decode::<JobRow>(row) {
             node.on_job(id, job, row.version);
         }
-    } else if let Some(fingerprint_hex) = key.strip_prefix(rows::SUSPECT_PREFIX) {
-        let fingerprint = u64::from_str_radix(fingerprint_hex, 16).ok();
-        let suspect = rows::decode::<SuspectRow>(row);
-        if let (Some(fingerprint), Some(suspect)) = (fingerprint, suspect) {
-            let mut suspects = node.suspects.borrow_mut();
-            suspects.on_shared_count(clock::now(), fingerprint, suspect.crashes);
+    } else if let Some(name) = key.strip_prefix(rows::CRASHES_PREFIX) {
+        suspects::on_row(node, name, row);
+    } else if key.starts_with(rows::EARLIER_CRASHES_PREFIX) {
+        let mut known = node.suspect_rows.borrow_mut();
+        match row.value {
+            Some(_) => drop(known.insert(key.to_owned(), clock::now())),
+            None => drop(known.remove(key)),
         }
     } else if let Some(server) = key.strip_prefix(rows::LEAVING_PREFIX) {
         let leaving = rows::decode::<LeavingRow>(row);
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -10,7 +10,7 @@
     Now,
 };
 use buckthornfall_platform::headers;
-use buckthornfall_proto::{digest::fingerprint, ids::ServerId};
+use buckthornfall_proto::ids::ServerId;
 use http::{header, request, HeaderMap, HeaderName, Response, StatusCode};
 use log::info;
 use tokio::time::sleep;
@@ -28,7 +28,7 @@
     second_copy::{self, Sending},
     server_bytes::FullServers,
     streams::{self, Choice},
-    usage,
+    suspects, usage,
 };
 
 /// Number of refusals by servers after which the caller's request is refused.
@@ -131,9 +131,7 @@
     let started = clock::now();
     let full = FullServers::new(body.len(), deadline);
     let resume_until = started + RESUME_PATIENCE.min(deadline.saturating_sub(started) / 3);
-    let path = head.uri.path().as_bytes();
-    let request_fingerprint =
-        fingerprint(&[header_text(&head.headers, &header::HOST).as_bytes(), path, &body]);
+    let request_fingerprint = suspects::request_fingerprint(head, &body);
     let response = loop {
         if is_queued && place.is_none() {
             match Place::wait(node, applicant).await {
@@ -233,7 +231,6 @@
             tries += 1;
             let outcome = match end.outcome {
                 AttemptOutcome::Response(response) => {
-                    node.suspects.borrow_mut().on_answer(request_fingerprint);
                     if let Some(place) = &place {
                         place.on_answer(end.sent_at, applicant.demand.objective);
                     }
@@ -251,9 +248,6 @@
                     reason
                 }
                 AttemptOutcome::Failed(failure) => {
-                    if failure.crashed {
-                        node.on_crash(request_fingerprint);
-                    }
                     runs += 1;
                     last_response = failure.response.or(last_response);
                     failure.reason
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -31,8 +31,8 @@
 };
 use buckthornfall_platform::{headers, settings::NodeSettings};
 use buckthornfall_proto::{
-    ids::{Fingerprint, ServerId},
-    messages::{JobRow, JobState, LeavingRow, MemberState, SuspectRow},
+    ids::ServerId,
+    messages::{JobRow, JobState, LeavingRow, MemberState},
 };
 use http::{HeaderMap, Response, StatusCode};
 use log::info;
@@ -186,6 +186,8 @@
     pub leaving_rows: RefCell<FxHashMap<ServerId, Now>>,
     /// Servers with a limit row in the store, with the time at which the row was read.
     pub limit_rows: RefCell<FxHashMap<ServerId, Now>>,
+    /// Keys of the rows of requests that crashed servers, with the time at which each was read.
+    pub suspect_rows: RefCell<FxHashMap<String, Now>>,
     pub jobs: RefCell<FxHashMap<JobId, KnownJob>>,
     /// How recent the rows of jobs are.
     pub job_freshness: RefCell<Freshness>,
@@ -272,6 +274,7 @@
             leaving_rows: RefCell::default(),
             members: RefCell::new(Members::new(settings.host.clone())),
             limit_rows: RefCell::default(),
+            suspect_rows: RefCell::default(),
             jobs: RefCell::default(),
             job_freshness: RefCell::new(Freshness::new(settings.cancellation)),
             job_ends: JobEnds::default(),
@@ -395,20 +398,6 @@
         actors.defer(&actors.weight_controller, f);
     }
 
-    /// Records that a server crashed while it ran a request, and shares the count with the other
-    /// daemons through the store.
-    pub fn on_crash(self: &Rc<Node>, request: Fingerprint) {
-        let crashes = self.suspects.borrow_mut().on_crash(clock::now(), request);
-        let key = RowKey::new(rows::FLEET, "", &format!("{}{request:016x}", rows::SUSPECT_PREFIX));
-        let value = rows::encode(&SuspectRow { crashes });
-        let node = Rc::clone(self);
-        tokio::task::spawn_local(async move {
-            let tx = StoreTx::put(vec![(key, value)]);
-            let end = node.store.transact(&tx).await;
-            info!(fingerprint = request, crashes, outcome:? = end; "request_suspected");
-        });
-    }
-
     /// Checks the head of a server's response for its request limit and for the announcement that
     /// the server is leaving. `started_ms` is the start time of the server that the request was sent
     /// to at `sent_at`.
--- a/crates/daemon/src/hosted/rows.rs
+++ b/crates/daemon/src/hosted/rows.rs
@@ -33,8 +33,10 @@
 pub const MEMBER_PREFIX: &str = "member/";
 /// Key prefix of jobs.
 pub const JOB_PREFIX: &str = "job/";
-/// Key prefix of requests suspected of crashing servers.
-pub const SUSPECT_PREFIX: &str = "suspect/";
+/// Key prefix of requests that crashed servers.
+pub const CRASHES_PREFIX: &str = "crashes/";
+/// Key prefix of the same in earlier versions of the software, which tell requests apart in another way.
+pub const EARLIER_CRASHES_PREFIX: &str = "suspect/";
 /// Key prefix of servers that announced that they are leaving.
 pub const LEAVING_PREFIX: &str = "leaving/";
 /// Key prefix of the request limits that servers stated.
--- a/crates/daemon/src/hosted/second_copy.rs
+++ b/crates/daemon/src/hosted/second_copy.rs
@@ -77,6 +77,7 @@
             body: self.body,
             guards: &marks.guards,
             scope: self.scope,
+            fingerprint: self.fingerprint,
             is_last: self.runs + running + 1 >= self.max_runs,
             is_sent: &marks.is_sent,
             counted: &marks.counted,
