A stated idle timeout counts as an hour at most

Cause: the pool added the stated seconds to the clock unchecked; the overflow ended the task that serves the caller.

Failed before: requests_to_a_server_that_states_the_longest_idle_timeout_are_answered, three requests without a byte, "overflow when adding duration to instant".

--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -108,6 +108,8 @@
 
 /// Idle timeout of connections whose peer does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time for which an idle connection is kept, whatever its peer states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Margin subtracted from the idle timeout that the peer states, so that no request is sent while
 /// the peer closes the connection.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(600);
@@ -336,7 +338,7 @@
     let stated = value
         .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
         .and_then(|seconds| seconds.parse().ok())
-        .map(Duration::from_secs);
+        .map(|seconds| Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT));
     let closes = response.headers().get(header::CONNECTION).is_some_and(|value| value == "close");
     if closes {
         return Duration::ZERO;
