A permit is void once its server leaves or has ended

Cause: the server is chosen before the wait, and nothing looked again after it. acquire, through which all requests to servers go, refuses then; the request goes elsewhere or is refused as not run.

Failed before: requests_that_wait_for_a_permit_are_not_sent_to_a_server_that_leaves_meanwhile, one request more than 0.5 s after the report.

--- a/crates/core/src/backends.rs
+++ b/crates/core/src/backends.rs
@@ -378,6 +378,12 @@
         }
     }
 
+    /// Returns whether the start of a server at `started_ms` is listed and does not leave.
+    pub fn is_taking_requests(&self, id: &str, started_ms: u64) -> bool {
+        let entry = self.get(id);
+        entry.is_some_and(|entry| entry.started_ms == started_ms && !entry.draining)
+    }
+
     /// Returns whether a server accepts new requests now.
     pub fn usable(&self, now: Now, id: &str) -> bool {
         self.servers.get(id).is_some_and(|known| {
--- a/crates/daemon/src/hosted/permits.rs
+++ b/crates/daemon/src/hosted/permits.rs
@@ -253,7 +253,8 @@
     Ok(servers::reported_start(&report))
 }
 
-/// Requests a permit to send the request `id` to a server. Waits for at most about `patience`.
+/// Requests a permit to send the request `id` to a server. Waits for at most about `patience`. There is none for a
+/// server that leaves, or has ended, meanwhile.
 pub async fn acquire(
     node: &Rc<Node>,
     server: &Backend,
@@ -284,6 +285,10 @@
         if !verdict.granted {
             return Err(Denied { retry_after: verdict.next });
         }
+        if !node.backends.borrow().is_taking_requests(&server.id, server.started_ms) {
+            info!(request = id, server = server.id.as_str(), waited_ms = millis(waited); "permit_of_leaving_server");
+            return Err(Denied { retry_after: Duration::ZERO });
+        }
     }
     Ok(Permit {
         server: server.clone(),
