--- a/crates/bench/src/fleet/simulation/jobs.rs
+++ b/crates/bench/src/fleet/simulation/jobs.rs
@@ -14,6 +14,9 @@
     SAVE_INTERVAL, SERVER_LATENCY, STORE_RETRY_DELAY,
 };
 
+/// Maximum size of a progress row.
+const ROW_BYTES: usize = 48_000;
+
 impl Simulation<'_> {
     pub(super) fn advance_jobs(&mut self, host: usize, mut out: Vec<JobAction>) {
         let daemon = &mut self.hosts[host];
@@ -151,7 +154,7 @@
         self.schedule(SAVE_INTERVAL, Event::SaveProgress { host, incarnation });
         let ids: Vec<_> = self.hosts[host].jobs.ids().cloned().collect();
         for job in ids {
-            let unsaved = self.hosts[host].jobs.unsaved(&job);
+            let unsaved = self.hosts[host].jobs.unsaved(&job, ROW_BYTES);
             if !unsaved.is_empty() {
                 self.schedule(
                     self.store_latency(),
--- a/crates/core/src/job/progress.rs
+++ b/crates/core/src/job/progress.rs
@@ -8,7 +8,10 @@
 use buckthornfall_proto::messages::ProgressRow;
 use rustc_hash::FxHashMap;
 
-use super::{text::MAX_FIRST_EVENT_ID, Job, Jobs, SampleId, SampleState, Text};
+use super::{
+    text::{Progress, MAX_FIRST_EVENT_ID},
+    Job, Jobs, SampleId, SampleState, Text,
+};
 
 /// A progress row to save.
 #[derive(Debug, Clone, PartialEq)]
@@ -19,25 +22,33 @@
     pub number: u32,
     /// Number of events of the sample that are saved once this row is written.
     pub events: usize,
+    /// Size of the events in bytes, as they are encoded.
+    pub bytes: usize,
     /// The row.
     pub row: ProgressRow,
 }
 
 /// Maximum rows per save; stays within the store's limit for a transaction.
 const MAX_SAVE_ROWS: usize = 80;
-/// Maximum event data per save; stays below the store's limit of 1 MB once encoded.
+/// Maximum event data per save, encoded; stays below the store's limit of 1 MB in base64.
 const MAX_SAVE_BYTES: usize = 500_000;
+/// Bytes of a row for what it holds besides events.
+const ROW_FRAME_BYTES: usize = 2_048;
 /// Minimum events of a sample worth saving: fewer are regenerated as fast as they are restored.
 const MIN_SAVED_EVENTS: usize = 8;
 
 impl Jobs {
-    /// Returns the unsaved progress of a job, up to the limits of one transaction.
-    pub fn unsaved(&self, id: &str) -> Vec<ProgressWrite> {
+    /// Returns the unsaved progress of a job, up to the limits of one transaction: for each sample one row of at
+    /// most `row_bytes`. What is left over follows with the next save; a sample with an event that is longer than
+    /// a row is saved up to it.
+    pub fn unsaved(&self, id: &str, row_bytes: usize) -> Vec<ProgressWrite> {
         let Some(job) = self.jobs.get(id) else { return Vec::new() };
+        let max_bytes = row_bytes.saturating_sub(ROW_FRAME_BYTES);
         let mut bytes = 0;
-        let writes = (0..job.samples.len()).filter_map(|index| job.progress_write(index));
+        let writes =
+            (0..job.samples.len()).filter_map(|index| job.progress_write(index, max_bytes));
         let fits = |write: &ProgressWrite| {
-            bytes += write.row.events.iter().map(String::len).sum::<usize>();
+            bytes += write.bytes;
             bytes <= MAX_SAVE_BYTES
         };
         writes.take(MAX_SAVE_ROWS).take_while(fits).collect()
@@ -55,7 +66,7 @@
 }
 
 impl Job {
-    fn progress_write(&self, index: usize) -> Option<ProgressWrite> {
+    fn progress_write(&self, index: usize, max_bytes: usize) -> Option<ProgressWrite> {
         let sample = &self.samples[index];
         let unfinished = matches!(
             sample.state,
@@ -64,12 +75,13 @@
                 | SampleState::Unscored(_)
                 | SampleState::Scoring
         );
-        let events = sample.text.events();
-        if !unfinished || events < MIN_SAVED_EVENTS {
+        if !unfinished || sample.text.events() < MIN_SAVED_EVENTS {
             return None;
         }
-        let row = sample.text.progress(&self.spec.samples[index].id, sample.saved_events)?;
-        Some(ProgressWrite { sample: index, number: sample.next_row_number, events, row })
+        let id = &self.spec.samples[index].id;
+        let Progress { row, bytes } = sample.text.progress(id, sample.saved_events, max_bytes)?;
+        let events = sample.saved_events + row.events.len();
+        Some(ProgressWrite { sample: index, number: sample.next_row_number, events, bytes, row })
     }
 }
 
--- a/crates/core/src/job/text.rs
+++ b/crates/core/src/job/text.rs
@@ -14,6 +14,25 @@
 /// Maximum number of events of a text.
 const MAX_TEXT_EVENTS: usize = 200_000;
 
+/// A progress row.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Progress {
+    pub row: ProgressRow,
+    /// Size of its events in bytes, as they are encoded.
+    pub bytes: usize,
+}
+
+/// Returns the size of a text as an element of a list in JSON.
+fn encoded_bytes(text: &str) -> usize {
+    const QUOTES_AND_COMMA: usize = 3;
+    let bytes = |byte: u8| match byte {
+        b'"' | b'\\' => 2,
+        0..=0x1f => 6,
+        _ => 1,
+    };
+    text.bytes().map(bytes).sum::<usize>() + QUOTES_AND_COMMA
+}
+
 /// Events of a sample and the weight versions that generated them.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Text {
@@ -25,6 +44,8 @@
     last_id: Option<u64>,
     /// Distinct versions that generated an event, in order of first use.
     versions: Vec<WeightVersion>,
+    /// For each version, the index of the first event that it may have generated; ascending.
+    first_uses: Vec<usize>,
     /// Version that generates the next event.
     current_version: Option<WeightVersion>,
     /// Software version of the servers that generated the events.
@@ -89,6 +110,7 @@
         let Some(version) = self.current_version.filter(|_| follows) else { return false };
         if !self.versions.contains(&version) {
             self.versions.push(version);
+            self.first_uses.push(self.events.len());
         }
         self.last_id = Some(id);
         self.bytes += event_bytes(&data);
@@ -110,18 +132,25 @@
         self.current_version = None;
     }
 
-    /// Returns the events from index `from` as a progress row; `None` if there are none.
-    pub fn progress(&self, sample: &str, from: usize) -> Option<ProgressRow> {
-        let last = self.last_id?;
-        let events = self.events.get(from..).filter(|events| !events.is_empty())?;
-        let count = u64::try_from(events.len()).ok()?;
-        Some(ProgressRow {
-            sample: sample.to_owned(),
-            first: last + 1 - count,
-            events: events.iter().map(|e| String::from_utf8_lossy(e).into_owned()).collect(),
-            versions: self.versions.clone(),
-            software: self.software.clone(),
-        })
+    /// Returns the events from index `from` as a progress row, as many as fit into `max_bytes` once encoded;
+    /// `None` if there are none.
+    pub(super) fn progress(&self, sample: &str, from: usize, max_bytes: usize) -> Option<Progress> {
+        let unsaved = u64::try_from(self.events.len().checked_sub(from)?).ok()?;
+        let first = (self.last_id? + 1).checked_sub(unsaved)?;
+        let (mut events, mut bytes) = (Vec::new(), 0);
+        for event in &self.events[from..] {
+            let event = String::from_utf8_lossy(event).into_owned();
+            let size = encoded_bytes(&event);
+            if bytes + size > max_bytes {
+                break;
+            }
+            events.push(event);
+            bytes += size;
+        }
+        let versions = self.versions_until(from + events.len());
+        let software = self.software.clone();
+        let row = ProgressRow { sample: sample.to_owned(), first, events, versions, software };
+        (!row.events.is_empty()).then_some(Progress { row, bytes })
     }
 
     /// Appends a progress row of one owner; a row that does not follow the last one starts a new
@@ -136,9 +165,17 @@
         self.events.extend(row.events.iter().map(|event| Bytes::from(event.clone())));
         self.bytes += self.events[first..].iter().map(event_bytes).sum::<usize>();
         self.last_id = (row.first + count).checked_sub(1);
+        // A version that is new in this row generated some event of it.
+        self.first_uses.resize(row.versions.len(), first);
         self.versions.clone_from(&row.versions);
     }
 
+    /// Returns the versions that generated the events before index `end`.
+    fn versions_until(&self, end: usize) -> Vec<WeightVersion> {
+        let uses = self.versions.iter().zip(&self.first_uses);
+        uses.filter(|(_, first)| **first < end).map(|(version, _)| *version).collect()
+    }
+
     /// Returns the id of the first event.
     pub fn first_event(&self) -> Option<u64> {
         let count = u64::try_from(self.events.len()).ok()?;
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -117,6 +117,9 @@
     }
 }
 
+/// Maximum size of a progress row.
+const ROW_BYTES: usize = 48_000;
+
 fn spec(min_version: u64, samples: Vec<SampleSpec>) -> JobSpec {
     JobSpec { model: MODEL.to_owned(), min_version, target_groups: 1, samples }
 }
@@ -371,11 +374,11 @@
     let mut rows = Vec::new();
     for to in [10, 20] {
         harness.stream(run, to - 9, to, 40);
-        let saving = harness.jobs.unsaved("job").remove(0);
+        let saving = harness.jobs.unsaved("job", ROW_BYTES).remove(0);
         harness.jobs.on_saved("job", &saving);
         rows.push(("owner-1".to_owned(), saving.row));
     }
-    assert_eq!(harness.jobs.unsaved("job"), []);
+    assert_eq!(harness.jobs.unsaved("job", ROW_BYTES), []);
     let texts = restore_texts(&rows);
     assert_eq!(texts["a"].last_event(), Some(20));
     let mut next = Harness::new(&[("s1", 1)]);
@@ -385,6 +388,31 @@
     assert_eq!(after, Some(20));
 }
 
+/// Guards against progress that is never saved as the store refuses a row of all of it, and against versions of
+/// events that a row does not hold.
+#[test]
+fn long_progress_is_saved_in_rows_that_the_store_takes() {
+    let mut harness = Harness::new(&[("s1", 1)]);
+    harness.open("job", spec(1, vec![sample("a", "g", 10)]));
+    let (run, ..) = first_run(&harness.tick());
+    assert!(harness.jobs.on_head(run, 1));
+    harness.stream(run, 1, 400, 1);
+    assert!(harness.jobs.on_head(run, 2));
+    harness.stream(run, 401, 800, 1);
+    assert_eq!(harness.jobs.unsaved("job", 100), [], "no event fits into such a row");
+    let mut rows = Vec::new();
+    while let Some(saving) = harness.jobs.unsaved("job", 4_096).pop() {
+        assert!(serde_json::to_vec(&saving.row).unwrap().len() <= 4_096);
+        let last = saving.row.first + saving.row.events.len() as u64 - 1;
+        assert_eq!(saving.row.versions, if last <= 400 { vec![1] } else { vec![1, 2] });
+        harness.jobs.on_saved("job", &saving);
+        rows.push(("owner-1".to_owned(), saving.row));
+    }
+    assert!(rows.len() > 3, "{} rows", rows.len());
+    let text = &restore_texts(&rows)["a"];
+    assert_eq!((text.last_event(), text.versions()), (Some(800), &[1, 2][..]));
+}
+
 #[test]
 fn saved_rows_of_two_owners_are_never_joined() {
     let mut harness = Harness::new(&[("s1", 1)]);
@@ -392,10 +420,10 @@
     let (run, ..) = first_run(&harness.tick());
     assert!(harness.jobs.on_head(run, 1));
     harness.stream(run, 1, 10, 40);
-    let first = harness.jobs.unsaved("job").remove(0);
+    let first = harness.jobs.unsaved("job", ROW_BYTES).remove(0);
     harness.jobs.on_saved("job", &first);
     harness.stream(run, 11, 20, 40);
-    let second = harness.jobs.unsaved("job").remove(0);
+    let second = harness.jobs.unsaved("job", ROW_BYTES).remove(0);
     let rows = [("owner-1".to_owned(), first.row), ("owner-2".to_owned(), second.row)];
     let texts = restore_texts(&rows);
     assert_eq!(
@@ -433,17 +461,17 @@
     let (run, ..) = first_run(&harness.tick());
     assert!(harness.jobs.on_head(run, 1));
     harness.stream(run, 1, 10, 40);
-    let saving = harness.jobs.unsaved("job").remove(0);
+    let saving = harness.jobs.unsaved("job", ROW_BYTES).remove(0);
     harness.jobs.on_saved("job", &saving);
     harness.stream(run, 11, 12, 40);
-    let in_flight = harness.jobs.unsaved("job").remove(0);
+    let in_flight = harness.jobs.unsaved("job", ROW_BYTES).remove(0);
     harness.end(run, &RunEnd::Broken);
     let (run, _, after) = first_run(&harness.advance(1_000));
     assert_eq!(after, None);
     harness.jobs.on_saved("job", &in_flight);
     assert!(harness.jobs.on_head(run, 2));
     harness.stream(run, 1, 20, 40);
-    assert_eq!(harness.jobs.unsaved("job").remove(0).row.first, 1);
+    assert_eq!(harness.jobs.unsaved("job", ROW_BYTES).remove(0).row.first, 1);
 }
 
 /// A server that refuses runs while it loads weights must not receive other samples either, until
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -71,7 +71,7 @@
         after!(SAVE_INTERVAL, [cx], save());
         let ids: Vec<_> = self.jobs.ids().cloned().collect();
         for id in ids {
-            let writes = self.jobs.unsaved(&id);
+            let writes = self.jobs.unsaved(&id, self.progress_bytes());
             if writes.is_empty() || !self.saving.insert(id.clone()) {
                 continue;
             }
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Returns the maximum size of a progress row, whose limit may be one of its base64.
+    fn progress_bytes(&self) -> usize {
+        self.node.settings().row_bytes / 4 * 3
+    }
+
     fn save_tx(&self, id: &str, writes: &[ProgressWrite]) -> StoreTx {
         let token = self.progress_tokens.get(id).map_or("", String::as_str);
         let put = writes.iter().map(|write| {
@@ -107,7 +112,7 @@
         let mut saves = Vec::new();
         let mut out = Vec::new();
         for id in ids {
-            let writes = self.jobs.unsaved(&id);
+            let writes = self.jobs.unsaved(&id, self.progress_bytes());
             if !writes.is_empty() {
                 saves.push(self.save_tx(&id, &writes));
             }
@@ -119,7 +124,7 @@
 
     /// Returns the transaction that saves the progress of a job; `None` if all of it is saved.
     pub fn unsaved(&mut self, _: CX![], id: &str) -> Option<StoreTx> {
-        let writes = self.jobs.unsaved(id);
+        let writes = self.jobs.unsaved(id, self.progress_bytes());
         (!writes.is_empty()).then(|| self.save_tx(id, &writes))
     }
 
