A call that the store refuses for its content is no failure of the store

The refusals counted as a store that fails, and entries that disappear then may come back.

Failed before, with the wait for saved progress left out: long_progress.rs, 200 from the server in place of 503. Client errors other than 429 are logged as store_call_rejected now.

--- a/crates/daemon/src/hosted/store.rs
+++ b/crates/daemon/src/hosted/store.rs
@@ -141,7 +141,15 @@
             Err(Error::Connect { .. }) => TxEnd::Failed(StoreFailure::Refused),
             Err(_) => wire::transaction_end(None),
         };
-        self.record_outcome(!matches!(end, TxEnd::Failed(_)), "transaction");
+        let rejection =
+            reply.ok().map(|reply| reply.status()).filter(|status| is_rejection(*status));
+        if let Some(status) = rejection.filter(|_| matches!(end, TxEnd::Failed(_))) {
+            let key = tx.put.first().map_or("", |(key, _)| key.key.as_str());
+            let table = tx.put.first().map_or("", |(key, _)| key.table.as_str());
+            warn!(table, key, rows = tx.put.len(), status = status.as_u16(); "store_call_rejected");
+        }
+        let is_rejected = rejection.is_some();
+        self.record_outcome(is_rejected || !matches!(end, TxEnd::Failed(_)), "transaction");
         end
     }
 
@@ -412,6 +420,11 @@
     }
 }
 
+/// Returns whether the store rejects a call for its content, as a row that is too long. It serves this daemon then.
+fn is_rejection(status: StatusCode) -> bool {
+    status.is_client_error() && !is_refusal(status)
+}
+
 fn is_refusal(status: StatusCode) -> bool {
     status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
 }
