A planned stop waits until callers have taken their responses

Cause: a request counted as in flight until its body was in the buffer of its connection, and what the socket had not taken was lost with the process. A stop waits now while a connection is blocked, up to the end of the grace.

Failed before: a_planned_stop_waits_for_callers_who_still_read, 2,375,568 of 2,400,000 bytes with the daemon of.

--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -230,13 +230,15 @@
     loop {
         sleep(STOP_CHECK_INTERVAL).await;
         let elapsed = clock::now().saturating_sub(started);
-        let is_drained = node.in_flight.get() == 0;
+        // What a connection has buffered is lost when the process exits.
+        let is_drained = node.in_flight.get() == 0 && node.blocked_connections.get() == 0;
         if (elapsed >= MIN_STOP_DURATION && is_drained) || clock::now() >= exit_at {
             break;
         }
     }
     let took_ms = clock::now().saturating_sub(started).as_millis() as u64;
-    info!(inflight = node.in_flight.get(), jobs = node.owned_jobs().len(), took_ms; "stopped");
+    info!(inflight = node.in_flight.get(), blocked = node.blocked_connections.get(), jobs = node.owned_jobs().len(),
+        took_ms; "stopped");
 }
 
 /// Saves the progress of all jobs and hands them over to other daemons.
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -221,6 +221,8 @@
     pub forward_peers: Connections,
     /// Number of requests in flight that others have passed on to this daemon.
     pub passed_on: Cell<usize>,
+    /// Connections with bytes of a response that their callers have not taken yet.
+    pub blocked_connections: Cell<usize>,
     /// Requests to plain services that are short of room.
     pub admission: RefCell<Queues>,
     /// Bytes of bodies held in memory.
@@ -293,6 +295,7 @@
             peer_choice: RefCell::default(),
             forward_peers: Connections::for_requests(),
             passed_on: Cell::new(0),
+            blocked_connections: Cell::new(0),
             admission: RefCell::default(),
             held_bytes: RefCell::new(HeldBytes::new(settings.memory_bytes)),
             result_reads: Semaphore::new(results::MAX_READS),
--- a/crates/daemon/src/hosted/server.rs
+++ b/crates/daemon/src/hosted/server.rs
@@ -95,6 +95,7 @@
 
 /// Activity on one connection.
 struct Activity {
+    node: Rc<Node>,
     in_flight: Cell<usize>,
     /// When the last response ended.
     last_end: Cell<Now>,
@@ -105,8 +106,9 @@
 }
 
 impl Activity {
-    fn new() -> Rc<Activity> {
+    fn new(node: &Rc<Node>) -> Rc<Activity> {
         Rc::new(Activity {
+            node: Rc::clone(node),
             in_flight: Cell::new(0),
             last_end: Cell::new(clock::now()),
             head_since: Cell::new(None),
@@ -124,9 +126,14 @@
     }
 
     fn on_write(&self, result: &Poll<io::Result<usize>>) {
-        let is_blocked = result.is_pending();
         let since = self.blocked_since.get().unwrap_or_else(clock::now);
-        self.blocked_since.set(is_blocked.then_some(since));
+        self.set_blocked(result.is_pending().then_some(since));
+    }
+
+    fn set_blocked(&self, since: Option<Now>) {
+        let was_blocked = self.blocked_since.replace(since).is_some();
+        let count = &self.node.blocked_connections;
+        count.set(count.get() + usize::from(since.is_some()) - usize::from(was_blocked));
     }
 
     /// Returns whether the caller has taken nothing for longer than `timeout`.
@@ -142,6 +149,12 @@
     }
 }
 
+impl Drop for Activity {
+    fn drop(&mut self) {
+        self.set_blocked(None);
+    }
+}
+
 /// Counts a request as in flight on its connection until its response has been sent.
 struct ActivityGuard(Rc<Activity>);
 
@@ -250,7 +263,7 @@
     }
     let buffer_bytes = |limits: &Limits| limits.header_bytes.max(MIN_BUFFER_BYTES) * 2;
     let max_buffer_bytes = buffer_bytes(&node.limits());
-    let activity = Activity::new();
+    let activity = Activity::new(&node);
     let stream = MonitoredStream { stream, activity: Rc::clone(&activity) };
     let (service_activity, service_node) = (Rc::clone(&activity), Rc::clone(&node));
     let service = service_fn(move |req| {
