The test of crashes across daemons asks for their number again

The rewrite of core/tests/suspects.rs had left out that the second daemon's crash is the third one: on_crash used to return the number, which nothing else needs now.

--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -45,6 +45,8 @@
     assert!(local.may_run(LATER, BAD));
     share(&local, &mut remote, NOW, BAD);
     crash(&mut remote, NOW, BAD, &start(0, 1));
+    let known = |of: &Suspects| of.crashes(BAD).map(|crashes| crashes.starts().count());
+    assert_eq!(known(&remote), Some(MAX_CRASHES));
     share(&remote, &mut local, NOW, BAD);
     assert!(!local.may_run(LATER, BAD) && !remote.may_run(LATER, BAD));
     assert!(local.may_run(LATER, 8), "other requests are not blocked");
