Request heads are limited to 1 MiB whatever the desired state says

Cause: the task of each connection doubles the stated size unchecked. A release build wraps to 0, and hyper panics on a buffer that small.

Failed before: daemons_answer_whatever_size_of_heads_the_desired_state_allows, no answer, "attempt to multiply with overflow" for each connection.

--- a/crates/core/src/desired.rs
+++ b/crates/core/src/desired.rs
@@ -117,10 +117,13 @@
     pub scaling: Option<Scaling>,
 }
 
+/// Upper limit of `Limits::header_bytes`: a connection holds a whole head in memory.
+pub const MAX_HEADER_BYTES: usize = 1 << 20;
+
 /// Size limits and timeouts for callers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limits {
-    /// Maximum size of a request head, in bytes.
+    /// Maximum size of a request head, in bytes; at most `MAX_HEADER_BYTES`.
     pub header_bytes: usize,
     /// Maximum size of a request body, in bytes.
     pub body_bytes: usize,
