A panic is logged and counted, and what others wait for gets an end

Callers' connections ended without a byte though the request may have run; a job whose read, run, score or append panicked never completed; a daemon whose heartbeats, feeds or scheduler had died looked well and kept its jobs; a lost service was never probed again.

Each panic is one line with its place, and a count. Requests get 502, which promises nothing; work that others wait for ends as failed after a second; periodic tasks start again; a row that panics is left out; without its scheduler the daemon stops as planned and exits with an error.

Failed before: with the catches taken out of tasks.rs all six tests of panicking_tasks.rs fail (no byte, never complete, no heartbeat, still listening, 16 of 24 streams, service still lost), and the three of tasks.rs. Panics are injected by the crate fail, whose points are compiled for tests only. has_panicked of the test support looks for the new line as well as for the old one.

--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -102,6 +102,12 @@
         /// The cause.
         reason: String,
     },
+    /// A task panicked without which the daemon cannot go on.
+    #[snafu(display("{task} panicked"))]
+    Panicked {
+        /// What the task does.
+        task: &'static str,
+    },
 }
 
 /// Result type of this module.
@@ -173,18 +179,24 @@
     peers::listen(&node).await.context(ListenSnafu { address: config.peers.to_string() })?;
     feeds::start(&node);
     heartbeat::start(&node);
-    tokio::task::spawn_local(owners::watch(Rc::clone(&node)));
-    tokio::task::spawn_local(cleanup::run(Rc::clone(&node)));
-    tokio::task::spawn_local(permits::run(Rc::clone(&node)));
-    tokio::task::spawn_local(origins::run(Rc::clone(&node)));
-    tokio::task::spawn_local(paths::run(Rc::clone(&node)));
+    node.keep_running("owners", owners::watch);
+    node.keep_running("cleanup", cleanup::run);
+    node.keep_running("permits", permits::run);
+    node.keep_running("origins", origins::run);
+    paths::start(&node);
     usage::start(&node);
     capacity::start(&node);
+    reload::start(&node, changed);
     info!(host = config.host.as_str(), zone = config.zone.as_str(), front:% = config.front, store:% = config.store; "started");
-    tokio::task::spawn_local(reload::watch(Rc::clone(&node), changed));
-    terminate.recv().await;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        () = node.failed.notified() => {}
+    }
     stop(&node).await;
-    Ok(())
+    match node.panicked_task.get() {
+        Some(task) => PanickedSnafu { task }.fail(),
+        None => Ok(()),
+    }
 }
 
 fn start_actors(node: &Rc<Node>) {
@@ -202,7 +214,7 @@
         weight_controller: weight_controller.clone(),
     };
     drop(node.actors.set(actors));
-    tokio::task::spawn_local(async move {
+    node.spawn_essential("the scheduler of jobs and duties", async move {
         // The owning references keep the actors alive while this task runs.
         let _owners = (runner, duty_holder, weight_controller);
         loop {
@@ -243,11 +255,14 @@
 
 /// Saves the progress of all jobs and hands them over to other daemons.
 async fn hand_over_jobs(node: &Rc<Node>) {
-    let (tx, rx) = oneshot::channel();
-    node.with_runner(move |runner, cx| drop(tx.send(runner.suspend(cx))));
-    let saves = rx.await.unwrap_or_default();
-    for save in saves {
-        owners::save_progress(node, &save).await;
+    // The progress is with the actors, which may be gone.
+    if node.panicked_task.get().is_none() {
+        let (tx, rx) = oneshot::channel();
+        node.with_runner(move |runner, cx| drop(tx.send(runner.suspend(cx))));
+        let saves = rx.await.unwrap_or_default();
+        for save in saves {
+            owners::save_progress(node, &save).await;
+        }
     }
     owners::hand_over(node).await;
 }
--- a/crates/daemon/src/hosted/capacity.rs
+++ b/crates/daemon/src/hosted/capacity.rs
@@ -23,7 +23,7 @@
 
 /// Starts to order servers while this daemon holds the duties' lease.
 pub fn start(node: &Rc<Node>) {
-    tokio::task::spawn_local(run(Rc::clone(node)));
+    node.keep_running("capacity", run);
 }
 
 /// The services whose servers are ordered, with the last decision on each for the log.
--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -16,7 +16,7 @@
 use http::{header, request, HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use log::info;
+use log::{info, warn};
 use tokio::time::timeout;
 
 use super::{
@@ -29,6 +29,7 @@
     responses, results,
     submissions::{self, Submission},
 };
+use crate::tasks;
 
 /// Why a request is refused that an older desired state would decide.
 pub const STALE_REASON: &str = "this host may have missed a change of the desired state";
@@ -44,7 +45,12 @@
 /// Handles a request on any of the request listeners.
 pub async fn handle(node: Rc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
     let guard = InFlightGuard::new(&node);
-    let response = respond(Rc::clone(&node), req).await.map(|body| body.with_guard(guard));
+    let id = req.headers().get(headers::ATTEMPT).cloned();
+    let response = match tasks::catch_panic(respond(Rc::clone(&node), req)).await {
+        Some(response) => response,
+        None => on_panic(id.as_ref()),
+    };
+    let response = response.map(|body| body.with_guard(guard));
     // Callers who reuse a connection of a daemon that leaves would be cut off.
     match node.is_leaving() {
         true => close_connection(response),
@@ -52,7 +58,15 @@
     }
 }
 
+/// Responds to a request whose handling has panicked. It may have run.
+fn on_panic(id: Option<&HeaderValue>) -> Response<ResponseBody> {
+    warn!(request:? = id; "request_panicked");
+    let reason = "this daemon failed to handle the request";
+    full_response(close_connection(responses::error(StatusCode::BAD_GATEWAY, reason)))
+}
+
 async fn respond(node: Rc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
+    fail::fail_point!("request");
     let api_request = interface::api_request(&req);
     if api_request != Some(ApiRequest::Ready) {
         node.requests.set(node.requests.get().saturating_add(1));
--- a/crates/daemon/src/hosted/feeds.rs
+++ b/crates/daemon/src/hosted/feeds.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 
 use super::{clock, node::Node, origins, permits, rows, second_copy, suspects};
+use crate::tasks;
 
 /// Minimum interval between two polls of one table, so that changes arrive in batches.
 pub const FEED_INTERVAL: Duration = Duration::from_millis(25);
@@ -64,7 +65,7 @@
 /// Starts following the changes of all tables.
 pub fn start(node: &Rc<Node>) {
     for table in Table::ALL {
-        tokio::task::spawn_local(follow(Rc::clone(node), table));
+        node.keep_running(table_name(table), move |node| follow(node, table));
     }
 }
 
@@ -83,7 +84,7 @@
             FeedEnd::Changes(page) => {
                 after = Some(page.version.max(version));
                 node.members.borrow_mut().on_contact(clock::now());
-                page.rows.iter().for_each(|row| on_row(&node, table, row));
+                page.rows.iter().for_each(|row| apply(&node, table, row));
                 on_view(&node, table, sent_at);
                 sleep(feed_interval(table)).await;
             }
@@ -100,7 +101,7 @@
     let sent_at = clock::now();
     let page = read_parts(node, table).await?;
     node.members.borrow_mut().on_contact(clock::now());
-    page.rows.iter().for_each(|row| on_row(node, table, row));
+    page.rows.iter().for_each(|row| apply(node, table, row));
     on_view(node, table, sent_at);
     if table == Table::Servers {
         let listed: Vec<ServerId> = page.rows.iter().map(|row| row.key.key.clone()).collect();
@@ -168,7 +169,17 @@
         > buckthornfall_core::backends::MISSING_ENTRY_GRACE
 }
 
+/// Applies a row. One that makes this panic is left out, as it would hold up all others for good.
+fn apply(node: &Rc<Node>, table: Table, row: &StoredRow) {
+    if tasks::catch(|| on_row(node, table, row)).is_none() {
+        let key = row.key.key.as_str();
+        warn!(table = table_name(table), key, row_version = row.version; "row_left_out");
+        metrics::counter!("rows_left_out_total").increment(1);
+    }
+}
+
 fn on_row(node: &Rc<Node>, table: Table, row: &StoredRow) {
+    fail::fail_point!("row");
     match table {
         Table::Operator => on_operator_row(node, row),
         Table::Servers => on_server_row(node, row),
--- a/crates/daemon/src/hosted/heartbeat.rs
+++ b/crates/daemon/src/hosted/heartbeat.rs
@@ -19,8 +19,8 @@
 
 /// Starts the tasks that write heartbeats and watch the connection to the store.
 pub fn start(node: &Rc<Node>) {
-    tokio::task::spawn_local(write_heartbeats(Rc::clone(node)));
-    tokio::task::spawn_local(watch_store(Rc::clone(node)));
+    node.keep_running("heartbeats", write_heartbeats);
+    node.keep_running("store", watch_store);
 }
 
 /// Writes this daemon's row periodically, and at once when a planned stop begins or the daemon gets
@@ -45,6 +45,7 @@
         if node.serve_if_ready() {
             info!(host = node.settings().host.as_str(); "serving");
         }
+        fail::fail_point!("heartbeat");
         if let Some(incarnation) = incarnation {
             beat += 1;
             let elapsed =
--- a/crates/daemon/src/hosted/job_ends.rs
+++ b/crates/daemon/src/hosted/job_ends.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{clock, node::Node, rows, submissions};
-use crate::peers::Connections;
+use crate::{peers::Connections, tasks};
 
 /// Delay before the first retry of a failed write.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(60);
@@ -86,7 +86,7 @@
         } else {
             tokio::task::spawn_local(tell_owner(Rc::clone(&node), id.clone()));
         }
-        store(&node, &id).await;
+        tasks::restart_after_panics("job end", || store(&node, &id)).await;
         node.job_ends.on_stored(&id);
     });
 }
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
+    future::Future,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -58,7 +59,7 @@
     store::Store,
     weights::WeightActor,
 };
-use crate::peers::Connections;
+use crate::{peers::Connections, tasks};
 
 /// A job row that this daemon has read or written.
 #[derive(Debug, Clone)]
@@ -234,6 +235,10 @@
     /// Notified when some of either are given back.
     pub bytes_released: Notify,
     pub actors: OnceCell<Actors>,
+    /// Task that has panicked without which the daemon cannot go on.
+    pub panicked_task: Cell<Option<&'static str>>,
+    /// Notified when that happens.
+    pub failed: Notify,
 }
 
 /// Part of the bound of the desired state in which a daemon decides no more by it, as clocks of hosts run at
@@ -302,10 +307,41 @@
             server_bytes: RefCell::default(),
             bytes_released: Notify::new(),
             actors: OnceCell::new(),
+            panicked_task: Cell::new(None),
+            failed: Notify::new(),
             settings: RefCell::new(Rc::new(settings)),
         })
     }
 
+    /// Starts the task `name`, which runs until the daemon exits.
+    pub fn keep_running<F>(
+        self: &Rc<Node>,
+        name: &'static str,
+        run: impl Fn(Rc<Node>) -> F + 'static,
+    ) where
+        F: Future<Output = ()> + 'static,
+    {
+        let node = Rc::clone(self);
+        let start = move || run(Rc::clone(&node));
+        tokio::task::spawn_local(tasks::restart_after_panics(name, start));
+    }
+
+    /// Starts a task without which the daemon cannot go on: if it panics, the daemon stops, so that its
+    /// platform starts it again.
+    pub fn spawn_essential(
+        self: &Rc<Node>,
+        name: &'static str,
+        work: impl Future<Output = ()> + 'static,
+    ) {
+        let node = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            if tasks::catch_panic(work).await.is_none() {
+                node.panicked_task.set(Some(name));
+                node.failed.notify_one();
+            }
+        });
+    }
+
     /// Returns the settings in force.
     pub fn settings(&self) -> Rc<NodeSettings> {
         Rc::clone(&self.settings.borrow())
@@ -576,7 +612,7 @@
         let node = Rc::clone(self);
         let id = id.to_owned();
         tokio::task::spawn_local(async move {
-            super::submissions::load(&node, &id).await;
+            tasks::restart_after_panics("load", || super::submissions::load(&node, &id)).await;
             node.loading.borrow_mut().remove(&id);
         });
     }
--- a/crates/daemon/src/hosted/origins.rs
+++ b/crates/daemon/src/hosted/origins.rs
@@ -22,6 +22,7 @@
 };
 
 use super::{clock, node::Node, rows};
+use crate::tasks;
 
 /// Interval between checks of the rows of services.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -187,14 +188,18 @@
         !std::mem::replace(&mut queue.is_writing, true)
     };
     if starts {
-        tokio::task::spawn_local(write_records(Rc::clone(node), part));
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move {
+            tasks::restart_after_panics("stream records", || write_records(&node, part)).await;
+        });
     }
     rx.await.unwrap_or(RecordEnd::Unknown)
 }
 
 /// Writes the waiting records of a partition in batches until none is left.
-async fn write_records(node: Rc<Node>, part: usize) {
+async fn write_records(node: &Node, part: usize) {
     loop {
+        fail::fail_point!("record");
         let batch: Vec<_> = {
             let queue = &mut node.records.queues.borrow_mut()[part];
             let count = queue.waiting.len().min(MAX_RECORDS);
--- a/crates/daemon/src/hosted/paths.rs
+++ b/crates/daemon/src/hosted/paths.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use buckthornfall_core::{
+    backends::Backend,
     reachability::{PathChange, Probe},
     store::{RowKey, StoreTx, TxEnd},
 };
@@ -16,6 +17,7 @@
     node::Node,
     rows,
 };
+use crate::tasks;
 
 /// Interval between checks for silent services and due probes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -26,9 +28,13 @@
 /// it.
 const SHARE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Watches the paths and probes them as needed.
-pub async fn run(node: Rc<Node>) {
-    tokio::task::spawn_local(share(Rc::clone(&node)));
+/// Starts to watch the paths, to probe them as needed and to tell the other daemons of lost ones.
+pub fn start(node: &Rc<Node>) {
+    node.keep_running("paths", watch);
+    node.keep_running("lost services", share);
+}
+
+async fn watch(node: Rc<Node>) {
     loop {
         sleep(CHECK_INTERVAL).await;
         let (probes, changes) =
@@ -81,15 +87,13 @@
 /// Opens a connection to a server, which is kept for requests.
 async fn open_probe(node: Rc<Node>, probe: Probe) {
     let Probe { service, server } = probe;
-    let conn = Connection::open(server.addr, PROBE_TIMEOUT).await;
-    let connected = conn.is_ok();
-    let detail = conn.as_ref().err().map(Error::to_string).unwrap_or_default();
-    if let Ok(conn) = conn {
-        node.servers.put(conn);
-    }
+    // A lost service is probed again once this probe has ended.
+    let opened = tasks::catch_panic(connect(&node, &server)).await;
+    let detail = opened.unwrap_or_else(|| Some("the probe panicked".to_owned()));
+    let connected = detail.is_none();
     metrics::counter!("path_probes_total", "outcome" => if connected { "connected" } else { "failed" })
         .increment(1);
-    info!(service, server = server.id.as_str(), connected, detail; "path_probed");
+    info!(service, server = server.id.as_str(), connected, detail = detail.unwrap_or_default(); "path_probed");
     let change =
         node.reachability.borrow_mut().on_probe_end(clock::now(), &service, &server.id, connected);
     if let Some(change) = change {
@@ -97,6 +101,17 @@
     }
 }
 
+/// Opens a connection to a server, for later requests. Returns why it cannot be opened, or `None`.
+async fn connect(node: &Rc<Node>, server: &Backend) -> Option<String> {
+    fail::fail_point!("probe");
+    let conn = match Connection::open(server.addr, PROBE_TIMEOUT).await {
+        Ok(conn) => conn,
+        Err(e) => return Some(e.to_string()),
+    };
+    node.servers.put(conn);
+    None
+}
+
 /// Records a response of a server of `service`.
 pub fn on_response(node: &Rc<Node>, service: &str) {
     let change = node.reachability.borrow_mut().on_response(clock::now(), service);
--- a/crates/daemon/src/hosted/permits.rs
+++ b/crates/daemon/src/hosted/permits.rs
@@ -35,7 +35,7 @@
     node::Node,
     paths, rows,
 };
-use crate::peers::Connections;
+use crate::{peers::Connections, tasks};
 
 /// Time allowed for the round trip to the issuer, on top of the patience of the request.
 const EXCHANGE_MARGIN: Duration = Duration::from_millis(250);
@@ -340,7 +340,7 @@
             PermitAction::Ask { id, issuer, req } => {
                 let (node, server) = (Rc::clone(node), server.to_owned());
                 tokio::task::spawn_local(async move {
-                    let verdict = ask(&node, &issuer, req).await;
+                    let verdict = tasks::catch_panic(ask(&node, &issuer, req)).await.flatten();
                     let mut out = Vec::new();
                     with_view(&node, &server, |permits, view| {
                         permits.on_reply(clock::now(), view, id, verdict, &mut out);
--- a/crates/daemon/src/hosted/reload.rs
+++ b/crates/daemon/src/hosted/reload.rs
@@ -4,15 +4,21 @@
 
 use buckthornfall_platform::settings::{self, NodeSettings};
 use log::{info, warn};
-use tokio::{signal::unix::Signal, time::sleep};
+use tokio::{signal::unix::Signal, sync::Mutex, time::sleep};
 
 use super::node::Node;
 
 /// Interval at which the file is read without a signal.
 pub const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Applies changes of the settings file until the daemon stops.
-pub async fn watch(node: Rc<Node>, mut changed: Signal) {
+/// Starts to apply changes of the settings file; `changed` tells of them.
+pub fn start(node: &Rc<Node>, changed: Signal) {
+    let changed = Rc::new(Mutex::new(changed));
+    node.keep_running("settings", move |node| watch(node, Rc::clone(&changed)));
+}
+
+async fn watch(node: Rc<Node>, changed: Rc<Mutex<Signal>>) {
+    let mut changed = changed.lock().await;
     let mut last_error = None;
     loop {
         let signalled = tokio::select! {
--- a/crates/daemon/src/hosted/runner.rs
+++ b/crates/daemon/src/hosted/runner.rs
@@ -21,6 +21,7 @@
     stream::{self, Event, RunRequest},
     submissions::{self, LoadedJob},
 };
+use crate::tasks;
 
 /// Interval between scheduling passes when no event triggers one, and between attempts to read a
 /// job's log.
@@ -61,6 +62,7 @@
 
     fn tick(&mut self, cx: CX![]) {
         after!(TICK_INTERVAL, [cx], tick());
+        fail::fail_point!("actors");
         let replied_at = self.node.store.last_reply();
         self.node.job_freshness.borrow_mut().on_tick(clock::now(), replied_at);
         self.node.desired_freshness.borrow_mut().on_tick(clock::now(), replied_at);
@@ -78,8 +80,8 @@
             let node = Rc::clone(&self.node);
             let tx = self.save_tx(&id, &writes);
             tokio::task::spawn_local(async move {
-                let end = node.store.transact(&tx).await;
-                let saved = matches!(end, TxEnd::Committed(_));
+                let end = tasks::catch_panic(node.store.transact(&tx)).await;
+                let saved = matches!(end, Some(TxEnd::Committed(_)));
                 node.with_runner(move |runner, _| runner.on_saved(&id, &writes, saved));
             });
         }
@@ -285,11 +287,17 @@
             JobAction::Score { job, sample, tries } => self.score(job, sample, tries),
             JobAction::Append { job, batch } => {
                 let node = Rc::clone(&self.node);
-                tokio::task::spawn_local(append(node, job, batch));
+                tokio::task::spawn_local(async move {
+                    let append = append(&node, &job, &batch);
+                    let end = tasks::or_after_panic(append, AppendEnd::Unknown).await;
+                    node.with_runner(move |runner, cx| runner.on_appended(cx, &job, end));
+                });
             }
             JobAction::ReadLog { job } => {
                 let node = Rc::clone(&self.node);
-                tokio::task::spawn_local(read_log(node, job));
+                tokio::task::spawn_local(async move {
+                    tasks::restart_after_panics("job log", || read_log(&node, &job)).await;
+                });
             }
             JobAction::GaveUp { job, sample, reason } => {
                 info!(job, sample, reason:? = reason; "sample_given_up");
@@ -347,13 +355,14 @@
     }
 }
 
-async fn append(node: Rc<Node>, job: JobId, batch: Batch) {
+async fn append(node: &Node, job: &str, batch: &Batch) -> AppendEnd {
+    fail::fail_point!("append");
     let mut tx = StoreTx::default();
     let row_bytes = node.settings().row_bytes;
     for (offset, result) in batch.results.iter().enumerate() {
         let position = batch.first + offset;
-        tx.expected.push((rows::result_key(&job, position, 0), 0));
-        tx.put.extend(rows::encode_result(&job, position, result, row_bytes));
+        tx.expected.push((rows::result_key(job, position, 0), 0));
+        tx.put.extend(rows::encode_result(job, position, result, row_bytes));
     }
     let end = node.store.transact(&tx).await;
     let end = match end {
@@ -363,15 +372,16 @@
         TxEnd::Failed(StoreFailure::Unknown) => AppendEnd::Unknown,
     };
     info!(job, first = batch.first, results = batch.results.len(), outcome:? = end; "results_appended");
-    node.clone().with_runner(move |runner, cx| runner.on_appended(cx, &job, end));
+    end
 }
 
-async fn read_log(node: Rc<Node>, job: JobId) {
+async fn read_log(node: &Node, job: &JobId) {
     loop {
-        if let Some(page) = node.store.rows(&rows::result_key(&job, 0, 0), None).await {
+        if let Some(page) = node.store.rows(&rows::result_key(job, 0, 0), None).await {
             let listed = rows::decode_results(&page.rows);
-            info!(job, listed = listed.len(); "job_log_read");
-            node.clone().with_runner(move |runner, cx| runner.on_log(cx, &job, &listed));
+            info!(job = job.as_str(), listed = listed.len(); "job_log_read");
+            let job = job.clone();
+            node.with_runner(move |runner, cx| runner.on_log(cx, &job, &listed));
             return;
         }
         tokio::time::sleep(TICK_INTERVAL).await;
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -23,6 +23,7 @@
     node::{Destination, Node, OpenJob},
     paths, permits,
 };
+use crate::tasks;
 
 /// Timeout of a scoring request whose route does not set one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -67,7 +68,9 @@
 /// Sends one scoring request.
 pub async fn request_score(node: &Rc<Node>, req: ScoreRequest<'_>) -> ScoreEnd {
     let decided_by = node.desired_version();
-    let Scored { end, server, known, detail } = exchange(node, req).await;
+    let panicked = Scored::not_sent(ScoreEnd::NoAnswer, "", "the request panicked");
+    let Scored { end, server, known, detail } =
+        tasks::or_after_panic(exchange(node, req), panicked).await;
     let outcome = match end {
         ScoreEnd::Scored(_) => "scored",
         ScoreEnd::Failed { .. } => "failed",
@@ -82,6 +85,7 @@
 }
 
 async fn exchange(node: &Rc<Node>, req: ScoreRequest<'_>) -> Scored {
+    fail::fail_point!("score");
     let ScoreRequest { job, scorer, tries } = req;
     let (route, service) = {
         let path = scorer.path.split('?').next().unwrap_or_default();
--- a/crates/daemon/src/hosted/server.rs
+++ b/crates/daemon/src/hosted/server.rs
@@ -32,6 +32,7 @@
     clock, entry,
     node::Node,
 };
+use crate::tasks;
 
 /// Minimum buffer size that hyper accepts for a request head.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
@@ -66,21 +67,31 @@
 where
     F: Future<Output = ()> + 'static,
 {
-    let listener = bind(addr)?;
-    tokio::task::spawn_local(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(serve(stream));
-                }
-                Err(e) => {
-                    warn!(address:% = addr, error:% = e; "accept_failed");
-                    sleep(ACCEPT_RETRY_DELAY).await;
-                }
+    let listener = Rc::new(bind(addr)?);
+    let serve = Rc::new(serve);
+    let start = move || accept_all(Rc::clone(&listener), addr, Rc::clone(&serve));
+    tokio::task::spawn_local(tasks::restart_after_panics("accept", start));
+    Ok(())
+}
+
+async fn accept_all<F>(
+    listener: Rc<TcpListener>,
+    addr: SocketAddr,
+    serve: Rc<impl Fn(TcpStream) -> F>,
+) where
+    F: Future<Output = ()> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(stream));
+            }
+            Err(e) => {
+                warn!(address:% = addr, error:% = e; "accept_failed");
+                sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
-    });
-    Ok(())
+    }
 }
 
 /// Binds a listener. Its connections inherit the sizes of its buffers.
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -27,6 +27,7 @@
     paths,
     permits::{self, Verification, VerifyError},
 };
+use crate::tasks;
 
 /// Timeout of connecting to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -76,7 +77,9 @@
 /// Executes a run and reports its events and its end to the job runner.
 pub async fn run(node: Rc<Node>, req: RunRequest) {
     let mut run_log = RunLog::new(&req);
-    let (end, detail) = match exchange(&node, &req, &mut run_log).await {
+    let panicked = fail(RunEnd::Broken, "the run panicked");
+    let exchanged = tasks::or_after_panic(exchange(&node, &req, &mut run_log), panicked).await;
+    let (end, detail) = match exchanged {
         Ok(end) => (end, String::new()),
         Err(Failure { end, detail }) => (end, detail),
     };
@@ -99,6 +102,7 @@
     req: &RunRequest,
     run_log: &mut RunLog,
 ) -> Result<RunEnd, Failure> {
+    fail::fail_point!("run");
     let permit = match permits::acquire(
         node,
         &req.server,
--- a/crates/daemon/src/hosted/submissions.rs
+++ b/crates/daemon/src/hosted/submissions.rs
@@ -212,6 +212,7 @@
 /// Reads a job that this daemon owns, with retries, and opens it in the runner.
 pub async fn load(node: &Rc<Node>, id: &str) {
     loop {
+        fail::fail_point!("load");
         let known = node.jobs.borrow().get(id).cloned();
         let Some(job) = known else { return };
         if !node.owns(&job.row) || node.is_leaving() || node.job_ends.is_requested(id) {
--- a/crates/daemon/src/hosted/usage.rs
+++ b/crates/daemon/src/hosted/usage.rs
@@ -41,8 +41,10 @@
 
 /// Starts to store this daemon's counts, and to report usage while it holds the duties' lease.
 pub fn start(node: &Rc<Node>) {
-    tokio::task::spawn_local(save_counts(Rc::clone(node)));
-    tokio::task::spawn_local(report(Rc::clone(node)));
+    // A start of the daemon has one set of rows, also if the task starts again.
+    let token = format!("{:016x}", rand::random::<u64>());
+    node.keep_running("usage counts", move |node| save_counts(node, token.clone()));
+    node.keep_running("usage reports", report);
 }
 
 fn report_times(node: &Node) -> Option<ReportTimes> {
@@ -75,8 +77,7 @@
     }
 }
 
-async fn save_counts(node: Rc<Node>) {
-    let token = format!("{:016x}", rand::random::<u64>());
+async fn save_counts(node: Rc<Node>, token: String) {
     loop {
         let Some(times) = report_times(&node) else {
             sleep(reload::POLL_INTERVAL).await;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod reply;
 mod stream;
+pub mod tasks;
 mod telemetry;
 
 pub use daemon::{Daemon, DaemonHandle};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,7 +3,7 @@
 use std::{fs, process::ExitCode, thread};
 
 use buckthornfall_core::second_copies::SecondCopies;
-use buckthornfall_daemon::{cli, hosted, logging, options::Options, Daemon};
+use buckthornfall_daemon::{cli, hosted, logging, options::Options, tasks, Daemon};
 use buckthornfall_proto::{check, settings::Settings};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
@@ -50,11 +50,13 @@
         return hosted::check().context(HostedSnafu);
     }
     logging::init_bounded();
+    tasks::report_panics();
     hosted::run(SecondCopies::new(options.second_copies)).context(HostedSnafu)
 }
 
 fn run(options: &Options) -> Result<(), Error> {
     logging::init();
+    tasks::report_panics();
     let settings = read_settings(options)?;
     if options.check_only {
         return Ok(());
