The logic behind the decoders neither panics nor wraps at extreme numbers

Request rates of other daemons that add up to more than 2^32 made the directory panic with overflow checks, and tell callers too few daemons without; sizes of jobs did the same to the plan. Rates of servers near zero, ids of events, counts of usage, the clock of the store and the lease had the same fault at their ends, with no way known by which a running daemon gets there.

Cause: sums and times were computed unchecked from what others state.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -10,6 +10,9 @@
     Now,
 };
 
+/// Longest wait for tokens, also if the rate is zero.
+const MAX_WAIT: Duration = Duration::from_secs(24 * 3_600);
+
 /// A token bucket.
 #[derive(Debug, Clone)]
 pub struct TokenBucket {
@@ -45,7 +48,7 @@
     pub fn wait(&self, now: Now, amount: f64) -> Duration {
         let elapsed = now.saturating_sub(self.updated).as_secs_f64();
         let tokens = (self.tokens + elapsed * self.rate).min(self.burst);
-        Duration::from_secs_f64(((amount - tokens) / self.rate).max(0.0))
+        self.time_for(amount - tokens)
     }
 
     /// Takes `amount` tokens, or returns the time until they are available.
@@ -55,8 +58,7 @@
             self.tokens -= amount;
             return Ok(());
         }
-        let missing = amount.min(self.burst) - self.tokens;
-        Err(Duration::from_secs_f64(missing / self.rate))
+        Err(self.time_for(amount.min(self.burst) - self.tokens))
     }
 
     /// Takes `amount` tokens even if the balance becomes negative.
@@ -71,6 +73,14 @@
         self.tokens > 0.0
     }
 
+    /// Returns the time in which `missing` tokens accumulate.
+    fn time_for(&self, missing: f64) -> Duration {
+        if missing <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(missing / self.rate).map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT))
+    }
+
     fn refill(&mut self, now: Now) {
         let elapsed = now.saturating_sub(self.updated).as_secs_f64();
         self.tokens = (self.tokens + elapsed * self.rate).min(self.burst);
--- a/crates/core/src/job/text.rs
+++ b/crates/core/src/job/text.rs
@@ -106,7 +106,10 @@
     /// Appends an event. Returns false if its id does not follow the last one or its version is
     /// unknown.
     pub fn push(&mut self, id: u64, data: Bytes) -> bool {
-        let follows = self.last_id.map_or(id <= MAX_FIRST_EVENT_ID, |last| id == last + 1);
+        let follows = match self.last_id {
+            Some(last) => last.checked_add(1) == Some(id),
+            None => id <= MAX_FIRST_EVENT_ID,
+        };
         let Some(version) = self.current_version.filter(|_| follows) else { return false };
         if !self.versions.contains(&version) {
             self.versions.push(version);
@@ -136,7 +139,7 @@
     /// `None` if there are none.
     pub(super) fn progress(&self, sample: &str, from: usize, max_bytes: usize) -> Option<Progress> {
         let unsaved = u64::try_from(self.events.len().checked_sub(from)?).ok()?;
-        let first = (self.last_id? + 1).checked_sub(unsaved)?;
+        let first = self.last_id?.checked_add(1)?.checked_sub(unsaved)?;
         let (mut events, mut bytes) = (Vec::new(), 0);
         for event in &self.events[from..] {
             let event = String::from_utf8_lossy(event).into_owned();
@@ -157,14 +160,20 @@
     /// text.
     pub fn restore(&mut self, row: &ProgressRow) {
         let is_same_software = self.software == row.software;
-        if self.last_id.is_none_or(|last| row.first != last + 1) || !is_same_software {
+        let next = self.last_id.and_then(|last| last.checked_add(1));
+        if next != Some(row.first) || !is_same_software {
             *self = Text { software: row.software.clone(), ..Text::default() };
         }
-        let Ok(count) = u64::try_from(row.events.len()) else { return };
+        let count = row.events.len() as u64;
+        // A row with ids that no events can have leaves no text to go on with.
+        let Some(end) = row.first.checked_add(count) else {
+            *self = Text::default();
+            return;
+        };
         let first = self.events.len();
         self.events.extend(row.events.iter().map(|event| Bytes::from(event.clone())));
         self.bytes += self.events[first..].iter().map(event_bytes).sum::<usize>();
-        self.last_id = (row.first + count).checked_sub(1);
+        self.last_id = end.checked_sub(1);
         // A version that is new in this row generated some event of it.
         self.first_uses.resize(row.versions.len(), first);
         self.versions.clone_from(&row.versions);
@@ -178,8 +187,8 @@
 
     /// Returns the id of the first event.
     pub fn first_event(&self) -> Option<u64> {
-        let count = u64::try_from(self.events.len()).ok()?;
-        self.last_id.map(|last| last + 1 - count)
+        let others = u64::try_from(self.events.len()).ok()?.checked_sub(1)?;
+        self.last_id?.checked_sub(others)
     }
 
     /// Returns the data of all events, separated by line feeds.
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -256,7 +256,10 @@
         self.observed = Some(ObservedRow { version, row, unchanged_since });
         let is_due = is_free || now.saturating_sub(unchanged_since) >= self.times.term;
         if is_due && self.wanted {
-            self.acquire(now, version, fence + 1, out);
+            // Without a higher fencing token nobody may hold the lease.
+            if let Some(fence) = fence.checked_add(1) {
+                self.acquire(now, version, fence, out);
+            }
         }
     }
 
@@ -269,7 +272,7 @@
     fn renew(&mut self, now: Now, out: &mut Vec<LeaseAction>) {
         let Some(held) = &self.held else { return };
         let mut row = held.row.clone();
-        row.renewals += 1;
+        row.renewals = row.renewals.wrapping_add(1);
         let version = held.version;
         self.write_row(now, version, row, out);
     }
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -290,7 +290,8 @@
             let is_other_region = location.distance(&row.zone) > 1;
             (is_other_region, std::cmp::Reverse(rank(host)))
         });
-        let load: u32 = near.iter().map(|(_, row)| row.requests_per_s).sum();
+        let load =
+            near.iter().fold(0, |load: u32, (_, row)| load.saturating_add(row.requests_per_s));
         let needed_entries = load.div_ceil(REQUESTS_PER_S_PER_ENTRY) as usize;
         let count = needed_entries.max(MIN_ENTRY_ADDRESSES).min(max_count);
         near.into_iter().take(count).map(|(_, row)| row.front.clone()).collect()
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -143,7 +143,7 @@
 impl Reading {
     fn extrapolate(self, now: Now) -> u64 {
         let elapsed_ms = u64::try_from(now.saturating_sub(self.at).as_millis()).unwrap_or_default();
-        self.clock_ms + elapsed_ms
+        self.clock_ms.saturating_add(elapsed_ms)
     }
 }
 
--- a/crates/core/src/usage.rs
+++ b/crates/core/src/usage.rs
@@ -30,7 +30,8 @@
 /// Adds counts of one part to those of the whole.
 pub fn add(total: &mut Counts, part: &Counts) {
     for (account, count) in part {
-        *total.entry(account.clone()).or_default() += count;
+        let sum = total.entry(account.clone()).or_default();
+        *sum = sum.saturating_add(*count);
     }
 }
 
--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -35,8 +35,8 @@
             .map(|model| {
                 let tokens: Vec<_> =
                     self.jobs.iter().filter(|job| job.1 == *model).map(|job| job.2).collect();
-                let sum: u64 = tokens.iter().sum();
-                (!tokens.is_empty()).then(|| sum.max(1) as f64 / tokens.len() as f64)
+                let sum: f64 = tokens.iter().map(|tokens| *tokens as f64).sum();
+                (!tokens.is_empty()).then(|| sum.max(1.0) / tokens.len() as f64)
             })
             .collect()
     }
