Times and limits that others state are bounded where they are decoded

A stream that a caller with X-Deadline-Ms 2^64-1 began, while two software versions served, had a record that stated a time long past, so that it could be removed and the stream resumed at the other version.

Cause: the numbers were taken as they were stated. One function reads the deadline header, where four did.

--- a/crates/daemon/src/hosted/entry.rs
+++ b/crates/daemon/src/hosted/entry.rs
@@ -193,8 +193,7 @@
 }
 
 fn request_timeout(req_headers: &HeaderMap) -> Duration {
-    let stated = header_text(req_headers, &headers::DEADLINE).parse().ok();
-    stated.map_or(DEFAULT_TIMEOUT, Duration::from_millis)
+    headers::deadline(req_headers).unwrap_or(DEFAULT_TIMEOUT)
 }
 
 fn ready(node: &Node) -> Response<Bytes> {
--- a/crates/daemon/src/hosted/forward.rs
+++ b/crates/daemon/src/hosted/forward.rs
@@ -321,9 +321,7 @@
 
 /// Returns when the response is due: also before the exit of a daemon that leaves.
 fn request_deadline(node: &Node, route: &Route, header_map: &HeaderMap) -> Now {
-    let stated =
-        header_text(header_map, &headers::DEADLINE).parse().ok().map(Duration::from_millis);
-    let wait = stated.unwrap_or(DEFAULT_TIMEOUT);
+    let wait = headers::deadline(header_map).unwrap_or(DEFAULT_TIMEOUT);
     let wait = route.timeout.map_or(wait, |timeout| wait.min(timeout));
     let wait = node.time_to_exit().map_or(wait, |left| wait.min(left));
     clock::now() + wait.saturating_sub(RESPONSE_MARGIN)
--- a/crates/daemon/src/hosted/heartbeat.rs
+++ b/crates/daemon/src/hosted/heartbeat.rs
@@ -108,7 +108,7 @@
         let row = row.as_ref().and_then(rows::decode::<MemberRow>);
         last = last.max(row.map_or(0, |row| row.incarnation));
     }
-    Some(last + 1)
+    Some(last.saturating_add(1))
 }
 
 /// Keeps the list of daemons that can relay store calls up to date, and probes the store while
--- a/crates/daemon/src/hosted/origins.rs
+++ b/crates/daemon/src/hosted/origins.rs
@@ -176,8 +176,8 @@
 /// Records in the store where the stream `id` begins; its caller waits until `until`.
 pub async fn record(node: &Rc<Node>, id: &str, origin: Origin, until: Now) -> RecordEnd {
     let wait = until.saturating_sub(clock::now());
-    let until_ms =
-        node.store.clock_ms() + u64::try_from(wait.as_millis()).unwrap_or(u64::from(u32::MAX));
+    let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+    let until_ms = node.store.clock_ms().saturating_add(wait_ms);
     let row = origin.into_record(until_ms);
     let key = rows::origin_key(id);
     let Ok(part) = key.part.parse::<usize>() else { return RecordEnd::NotWritten };
@@ -302,7 +302,7 @@
         let Some(page) = node.store.rows(&RowKey::new(rows::ORIGINS, &part, ""), None).await else {
             return;
         };
-        let is_expired = |row: &OriginRow| row.until_ms + RECORD_MARGIN_MS < clock_ms;
+        let is_expired = |row: &OriginRow| row.until_ms.saturating_add(RECORD_MARGIN_MS) < clock_ms;
         let expired = page
             .rows
             .into_iter()
--- a/crates/daemon/src/hosted/peer_forward.rs
+++ b/crates/daemon/src/hosted/peer_forward.rs
@@ -395,7 +395,7 @@
         let reason = "too many requests of other hosts";
         return full_response(responses::not_run_until(reason, BUSY_RETRY_AFTER));
     }
-    let wait = header_text(&head.headers, &headers::DEADLINE).parse().map(Duration::from_millis);
+    let wait = headers::deadline(&head.headers);
     let body = read_body(node, body, desired.limits.body_bytes);
     let Ok(Ok(body)) = timeout(wait.unwrap_or_default(), body).await else {
         return refuse("the body did not arrive whole");
--- a/crates/daemon/src/hosted/streams.rs
+++ b/crates/daemon/src/hosted/streams.rs
@@ -94,8 +94,7 @@
     let host = header_text(&head.headers, &header::HOST);
     let request = fingerprint(&[host.as_bytes(), sender.as_bytes(), body]);
     if !is_resumed {
-        let stated = header_text(&head.headers, &headers::DEADLINE).parse().ok();
-        let wait = stated.map_or(DEFAULT_RESUME_TIME, Duration::from_millis);
+        let wait = headers::deadline(&head.headers).unwrap_or(DEFAULT_RESUME_TIME);
         let stream = NewStream {
             id: id.to_owned(),
             service: service.clone(),
