--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -512,3 +512,164 @@
     // The rule holds if no other item of the step had begun, or the servers were half full.
     Ok(if begun > 0 && most < places / 2 { found } else { Vec::new() })
 }
+
+/// All servers of a service crash while clients call the same lookup. The servers return; the lookup is refused by
+/// all machines.
+pub fn banned_request(fleet: &Fleet) -> Outcome {
+    const LOOKUPS: usize = 12;
+    let desk = route("desk", "safe", 2_000, "");
+    let permits = route("permits", "safe", 2_000, "");
+    fleet.desired(3, &[&desk], &["desk", "permits"]);
+    let _desk: Vec<Server> = (1..=2)
+        .map(|index| fleet.server("desk", &format!("i-desk-{index}")))
+        .collect::<io::Result<_>>()?;
+    let before: Vec<Server> = (1..=3)
+        .map(|index| fleet.server("permits", &format!("i-permits-{index}")))
+        .collect::<io::Result<_>>()?;
+    let daemons = [fleet.daemon(1, fleet.store.addr)?, fleet.daemon(2, fleet.store.addr)?];
+    fleet.wait_ready(&[&daemons[0], &daemons[1]])?;
+    thread::sleep(ms(1_000));
+    fleet.desired(5, &[&desk, &permits], &["desk", "permits"]);
+    thread::sleep(ms(4_500));
+    let fronts = [daemons[0].front, daemons[1].front];
+    let stop = AtomicBool::new(false);
+    // Time of sending, route and status of each request.
+    let answers: Mutex<Vec<(Duration, &'static str, u16)>> = Mutex::default();
+    let (mut after, mut crashed_until) = (Vec::new(), fleet.record.now());
+    thread::scope(|scope| -> io::Result<()> {
+        for client in 0..LOOKUPS + 2 {
+            let (stop, answers) = (&stop, &answers);
+            scope.spawn(move || {
+                for number in 0.. {
+                    if stop.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let (path, name) = match client < LOOKUPS {
+                        true => ("/permits/trench-7", "permits"),
+                        false => ("/desk/fee", "desk"),
+                    };
+                    let body = match client < LOOKUPS {
+                        true => "work=150 licence of trench 7".to_owned(),
+                        false => format!("work=30 fee {client} {number}"),
+                    };
+                    let id = format!("{name}{client}x{number}");
+                    let sent = fleet.record.now();
+                    let headers = head(&id, ms(2_000), "Connection: close\r\n");
+                    let front = fronts[(client + number) % fronts.len()];
+                    let reply =
+                        http::call(front, "POST", path, &headers, body.as_bytes(), ms(3_000));
+                    let status = reply.map_or(0, |reply| reply.status());
+                    fleet.record.note(&format!("client: {id} at {front}: {status}"));
+                    answers.lock().unwrap().push((sent, name, status));
+                    let pause = 5 + (client * 17 + number * 31) as u64 % 40;
+                    thread::sleep(ms(if status == 200 { pause } else { 400 }));
+                }
+            });
+        }
+        thread::sleep(ms(4_000));
+        if fleet.has_trouble {
+            before.iter().for_each(Server::crash);
+            thread::sleep(ms(4_500));
+            for index in 1..=3 {
+                after.push(fleet.server("permits", &format!("i-permits-{}", index + 3))?);
+            }
+            crashed_until = fleet.record.now();
+        }
+        // Steady state begins `ContactMs` after the end of the disruption.
+        thread::sleep(ms(4_000 + 20_000));
+        stop.store(true, Ordering::SeqCst);
+        Ok(())
+    })?;
+    let steady_from = crashed_until + ms(4_000);
+    let answers = answers.into_inner().unwrap();
+    let count = |name: &str, is_counted: &dyn Fn(u16) -> bool| {
+        answers
+            .iter()
+            .filter(|(sent, of, status)| *sent >= steady_from && *of == name && is_counted(*status))
+            .count()
+    };
+    let (asked, served) = (count("permits", &|_| true), count("permits", &|status| status == 200));
+    let (asked_first, served_first) =
+        (count("desk", &|_| true), count("desk", &|status| status == 200));
+    fleet.record.note(&format!(
+        "steady state from {:.1} s: {served} of {asked} on the route that was added later, {served_first} of {asked_first} on the first route",
+        steady_from.as_secs_f64()
+    ));
+    fleet.record.note(&format!("rows: {:?}", fleet.store.values("fleet", "crashes/")));
+    if asked < 20 || asked_first == 0 {
+        return Err(io::Error::other("too few requests"));
+    }
+    let (share, share_first) =
+        (served as f64 / asked as f64, served_first as f64 / asked_first as f64);
+    Ok(match share < share_first / 4.0 {
+        true => vec![format!("in steady state {served} of {asked} requests on the added route are served, {served_first} of {asked_first} on the first one")],
+        false => Vec::new(),
+    })
+}
+
+/// A machine gets SIGTERM while a client reads an answer slowly.
+pub fn stop_during_slow_read(fleet: &Fleet) -> Outcome {
+    const BYTES: usize = 6_000_000;
+    let files = route("files", "safe", 10_000, "");
+    fleet.desired(3, &[&files], &["files"]);
+    let _servers: Vec<Server> = (1..=2)
+        .map(|index| fleet.server("files", &format!("i-files-{index}")))
+        .collect::<io::Result<_>>()?;
+    let mut stopped = fleet.daemon(1, fleet.store.addr)?;
+    let other = fleet.daemon(2, fleet.store.addr)?;
+    fleet.wait_ready(&[&stopped, &other])?;
+    thread::sleep(ms(5_000));
+    let mut conn = Conn::connect(stopped.front, ms(1_000))?;
+    conn.stream.set_read_timeout(Some(ms(3_000)))?;
+    let body = format!("work=50 bytes={BYTES}");
+    let req = format!(
+        "POST /files/f HTTP/1.1\r\nContent-Length: {}\r\n{}\r\n{body}",
+        body.len(),
+        head("slow", ms(10_000), "")
+    );
+    conn.send(req.as_bytes())?;
+    fleet.record.note("client: slow sent");
+    let reply = conn.head()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let length: usize = reply.header("content-length").parse().unwrap_or_default();
+    fleet.record.note(&format!("client: slow: status {}, {length} bytes", reply.status()));
+    if reply.status() != 200 || length != BYTES {
+        return Err(io::Error::other("no answer"));
+    }
+    let term_at = Instant::now();
+    if fleet.has_trouble {
+        stopped.signal(&fleet.record, TERM);
+    }
+    // Reads evenly, to end 7.4 s after the signal.
+    let mut got = conn.buf.len();
+    let mut error = None;
+    while got < length {
+        let due = (length as f64 * term_at.elapsed().as_secs_f64() / 7.4) as usize;
+        if got >= due {
+            thread::sleep(ms(10));
+            continue;
+        }
+        conn.buf.clear();
+        match conn.fill() {
+            Ok(0) => error = Some("the connection ended".to_owned()),
+            Ok(count) => got += count,
+            Err(e) => error = Some(format!("{:?}", e.kind())),
+        }
+        if error.is_some() {
+            break;
+        }
+    }
+    let since = term_at.elapsed().as_secs_f64();
+    fleet.record.note(&format!(
+        "client: slow: {got} of {length} bytes, {since:.1} s after SIGTERM: {error:?}"
+    ));
+    thread::sleep(ms(1_000));
+    if fleet.has_trouble && !stopped.has_ended() {
+        stopped.signal(&fleet.record, KILL);
+    }
+    Ok(match error {
+        Some(error) => vec![format!(
+            "the answer ended after {got} of {length} bytes, {since:.1} s after SIGTERM: {error}"
+        )],
+        None => Vec::new(),
+    })
+}
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -124,6 +124,9 @@
         "stop-during-stream" => cases::stop_during_stream(&fleet),
         "release-after-removal" => cases::release_after_removal(&fleet),
         "silent-connections" => cases::silent_connections(&fleet),
+        // Found as well, without a folder of their own; see REPORT-3.md.
+        "banned-request" => cases::banned_request(&fleet),
+        "stop-during-slow-read" => cases::stop_during_slow_read(&fleet),
         "empty-stream" => cases::empty_stream(&fleet),
         other => Err(io::Error::other(format!("no case {other}"))),
     };
