--- a/review/stand-ins-3/proxy.rs
+++ b/review/stand-ins-3/proxy.rs
@@ -1,9 +1,10 @@
 //! A TCP proxy before a server: the link of machines to it. It can be cut: then new connections are refused and the
-//! open ones are closed. It can also make the open connections fall silent for good, while new ones work.
+//! open ones are reset. It can also make the open connections fall silent for good, while new ones work.
 
 use std::{
     io::{self, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    os::fd::AsRawFd,
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc, Mutex,
@@ -12,6 +13,16 @@
     time::Duration,
 };
 
+extern "C" {
+    fn connect(socket: i32, address: *const u8, length: u32) -> i32;
+}
+
+/// Resets a connection: a connect to no address dissolves it.
+fn reset(stream: &TcpStream) {
+    let none = [0u8; 16];
+    unsafe { connect(stream.as_raw_fd(), none.as_ptr(), none.len() as u32) };
+}
+
 pub struct Proxy {
     pub addr: SocketAddr,
     is_cut: Arc<AtomicBool>,
@@ -34,10 +45,7 @@
                 if is_cut.load(Ordering::SeqCst) {
                     // Without a listener, connections are refused.
                     listener = None;
-                    open.lock()
-                        .unwrap()
-                        .drain(..)
-                        .for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+                    open.lock().unwrap().drain(..).for_each(|stream| reset(&stream));
                     thread::sleep(Duration::from_millis(5));
                     continue;
                 }
@@ -47,7 +55,7 @@
                 let Some(bound) = &listener else { continue };
                 let _ = bound.set_nonblocking(true);
                 match bound.accept() {
-                    Ok((stream, _)) => drop(connect(stream, to, &open, &silences)),
+                    Ok((stream, _)) => drop(link(stream, to, &open, &silences)),
                     Err(_) => thread::sleep(Duration::from_millis(2)),
                 }
             }
@@ -65,7 +73,7 @@
     }
 }
 
-fn connect(
+fn link(
     stream: TcpStream,
     to: SocketAddr,
     open: &Mutex<Vec<TcpStream>>,
