Requests no longer wait for their whole time on idle connections that fell silent

Cause: a request bets its whole time on the newest idle connection, and only that one is closed when it loses. The next request takes the next silent one.

Change: a request that is given up before its response head on a reused connection closes the idle connections to that server that had no response since it was sent. One that may be repeated is sent again on a new connection to the same server, with a permit of its own, after 1 s or six times the usual time, on a long-idle connection after a third of its time left. One that may run once, and a further scoring attempt, take a connection with a response within the last second or a new one.

--- a/crates/daemon/src/hosted/attempt.rs
+++ b/crates/daemon/src/hosted/attempt.rs
@@ -23,9 +23,9 @@
     clock,
     forward::{header_text, max_permit_patience, may_repeat, HOP_BY_HOP_HEADERS},
     hold::{Hold, Pieces},
-    http::{self as client, Connection, Error, ReadEnd},
+    http::{self as client, Connection, Error, ReadEnd, Reuse},
     node::Node,
-    permits::{Permit, Verification, VerifyError},
+    permits::{self, Permit, Verification, VerifyError},
     request_body::{BodyGuards, RequestBody},
     streams::{self, Scope, Start},
     suspects,
@@ -109,10 +109,15 @@
     } else {
         remaining.min(MIN_ATTEMPT_TIMEOUT.max(service_time * SERVICE_TIME_FACTOR))
     };
+    let use_of = match (uses_all_time, may_repeat(route)) {
+        (true, true) => ConnectionUse::Repeated,
+        (true, false) => ConnectionUse::Trusted,
+        (false, _) => ConnectionUse::Any,
+    };
     let started = clock::now();
     let guard = AttemptGuard::new(node, &server, deadline);
     let end = tokio::select! {
-        end = timeout(attempt_timeout, exchange(node, req, permit, remaining)) => end,
+        end = timeout(attempt_timeout, exchange(node, req, permit, deadline, use_of)) => end,
         () = useless(node, &server.service, req) => {
             guard.end(Ended::Failed);
             let reason = "the paths to the servers are lost";
@@ -216,45 +221,46 @@
     }
 }
 
+/// How an attempt deals with idle connections, which may have fallen silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionUse {
+    /// Takes any; another attempt follows this one before long.
+    Any,
+    /// Takes any, and sends the request again on a new one if it is silent.
+    Repeated,
+    /// Takes one that had a response lately, as the request must not be repeated.
+    Trusted,
+}
+
 async fn exchange(
     node: &Rc<Node>,
     req: CallerRequest<'_>,
     permit: Permit,
-    remaining: Duration,
+    deadline: Now,
+    use_of: ConnectionUse,
 ) -> Result<(Response<Received>, Connection), ExchangeError> {
-    let CallerRequest { route, head, body, guards, scope, is_sent, counted, .. } = req;
-    let (server, permitted_at) = (permit.server().clone(), permit.sent_at());
-    let connect_timeout = CONNECT_TIMEOUT.min(remaining);
-    let (mut conn, sent_at) = match scope {
-        Scope::Any => (node.servers.get(node, permit, connect_timeout).await?, permitted_at),
-        Scope::New(_) | Scope::Resumed(_) => {
-            let verification = Verification {
-                connect_timeout,
-                report_timeout: REPORT_TIMEOUT,
-                class: PermitClass::caller(access::priority(route, head)),
-                patience: max_permit_patience(route, remaining),
-            };
-            node.servers.get_verified(node, permit, verification).await?
-        }
+    let CallerRequest { route, scope, .. } = req;
+    let server = permit.server().clone();
+    let reuse = match use_of {
+        ConnectionUse::Any | ConnectionUse::Repeated => Reuse::Any,
+        ConnectionUse::Trusted => Reuse::Trusted,
     };
+    let (mut conn, mut sent_at) = connect(node, req, permit, deadline, reuse).await?;
     let pending = match scope {
         Scope::New(stream) => stream
             .prepare(node, &server.software)
             .map_err(|reason| ExchangeError::NotSent(reason.to_owned()))?,
         Scope::Any | Scope::Resumed(_) => None,
     };
-    let body = RequestBody::new(body.clone(), guards.clone());
-    let progress = body.progress();
-    let mut message = build_request(head, body, &server, remaining);
-    if scope.is_resumed() {
-        message.headers_mut().entry(headers::PRIORITY).or_insert(RESUME_PRIORITY);
+    let repeats = use_of == ConnectionUse::Repeated;
+    let mut sent = send(node, req, &server, &mut conn, deadline, repeats).await;
+    if let Err(ExchangeError::Http(Error::Silent { .. })) = sent {
+        if let Some(reconnected) = reconnect(node, req, &server, deadline).await {
+            (conn, sent_at) = reconnected;
+            sent = send(node, req, &server, &mut conn, deadline, false).await;
+        }
     }
-    is_sent.set(true);
-    counted.set(usage::count(node, head, node.location.round_trip(&server.zone) / 2));
-    let response = tokio::select! {
-        response = conn.send(message) => response?,
-        () = progress.stalled() => return Err(ExchangeError::Stalled),
-    };
+    let response = sent?;
     node.on_response(&server.id, server.started_ms, sent_at, &response);
     let is_streaming = route.kind == RouteKind::Stream && response.status() == StatusCode::OK;
     if !is_streaming {
@@ -285,6 +291,81 @@
     Ok((Response::from_parts(head, Received::Partial(stream)), conn))
 }
 
+/// Returns a connection to the server of the permit, and when the permit was granted.
+async fn connect(
+    node: &Rc<Node>,
+    req: CallerRequest<'_>,
+    permit: Permit,
+    deadline: Now,
+    reuse: Reuse,
+) -> Result<(Connection, Now), VerifyError> {
+    let (remaining, permitted_at) = (deadline.saturating_sub(clock::now()), permit.sent_at());
+    let connect_timeout = CONNECT_TIMEOUT.min(remaining);
+    match req.scope {
+        Scope::Any => {
+            let conn = node.servers.get(node, permit, reuse, connect_timeout).await?;
+            Ok((conn, permitted_at))
+        }
+        Scope::New(_) | Scope::Resumed(_) => {
+            let verification = Verification {
+                connect_timeout,
+                report_timeout: REPORT_TIMEOUT,
+                class: PermitClass::caller(access::priority(req.route, req.head)),
+                patience: max_permit_patience(req.route, remaining),
+            };
+            node.servers.get_verified(node, permit, reuse, verification).await
+        }
+    }
+}
+
+/// Returns a new connection for a request that got no response on an idle one.
+async fn reconnect(
+    node: &Rc<Node>,
+    req: CallerRequest<'_>,
+    server: &Backend,
+    deadline: Now,
+) -> Option<(Connection, Now)> {
+    if let Some(counted) = req.counted.take() {
+        usage::take_back(node, req.head, counted);
+    }
+    let class = PermitClass::caller(access::priority(req.route, req.head));
+    let patience = max_permit_patience(req.route, deadline.saturating_sub(clock::now()));
+    let id = header_text(&req.head.headers, &headers::ATTEMPT);
+    let permit = permits::acquire(node, server, id, class, patience).await.ok()?;
+    connect(node, req, permit, deadline, Reuse::Never).await.ok()
+}
+
+/// Sends the request and waits for the response head; on a reused connection not for long if `repeats`.
+async fn send(
+    node: &Rc<Node>,
+    req: CallerRequest<'_>,
+    server: &Backend,
+    conn: &mut Connection,
+    deadline: Now,
+    repeats: bool,
+) -> Result<Response<Incoming>, ExchangeError> {
+    let body = RequestBody::new(req.body.clone(), req.guards.clone());
+    let progress = body.progress();
+    let remaining = deadline.saturating_sub(clock::now());
+    let mut message = build_request(req.head, body, server, remaining);
+    if req.scope.is_resumed() {
+        message.headers_mut().entry(headers::PRIORITY).or_insert(RESUME_PRIORITY);
+    }
+    req.is_sent.set(true);
+    let transit = node.location.round_trip(&server.zone) / 2;
+    req.counted.set(usage::count(node, req.head, transit));
+    let response = async {
+        match repeats {
+            true => conn.send_repeatable(message, remaining).await,
+            false => conn.send(message).await,
+        }
+    };
+    tokio::select! {
+        response = response => Ok(response?),
+        () = progress.stalled() => Err(ExchangeError::Stalled),
+    }
+}
+
 /// Body of a server's response: read in full, or still being received.
 enum Received {
     Full(Pieces),
--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -5,6 +5,7 @@
     collections::VecDeque,
     io,
     net::SocketAddr,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
 
@@ -87,6 +88,14 @@
         /// The timeout.
         timeout: Duration,
     },
+    /// No response head was received on a reused connection for much longer than the peer usually takes.
+    #[snafu(display("no answer from {addr} on a reused connection within {limit:?}"))]
+    Silent {
+        /// Address of the peer.
+        addr: SocketAddr,
+        /// The limit.
+        limit: Duration,
+    },
 }
 
 impl Error {
@@ -101,6 +110,11 @@
     pub fn is_stale_connection(&self) -> bool {
         matches!(self, Error::NoAnswer { reused: true, .. })
     }
+
+    /// Returns whether a reused connection was silent, so that a new one may work.
+    pub fn is_silent_connection(&self) -> bool {
+        matches!(self, Error::Silent { .. })
+    }
 }
 
 /// Result type of this module.
@@ -126,6 +140,24 @@
 /// Maximum size of a response to a request of the daemon's own, and of a refusal.
 pub const MAX_OWN_BODY_BYTES: usize = 256 << 10;
 
+/// Wait for a response head after which a reused connection counts as silent; above the usual wait for a
+/// slot of a server.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// The same at least, on a connection that was idle for long; shorter than the attempts that another one
+/// may follow.
+const MIN_SILENCE: Duration = Duration::from_millis(300);
+/// Wait for a response head after which a reused connection counts as silent, as a multiple of the peer's
+/// usual time.
+const SILENCE_FACTOR: u32 = 6;
+/// The same if the time left is short.
+const MIN_SILENCE_FACTOR: u32 = 2;
+/// Part of the time left after which a request is repeated on a new connection.
+const SILENCE_SHARE: u32 = 3;
+/// Weight of a new value in the usual time to the response head.
+const HEAD_TIME_EWMA_WEIGHT: f64 = 0.2;
+/// Age of the last response on a connection up to which a request that must not be repeated may use it.
+const MAX_TRUSTED_AGE: Duration = Duration::from_millis(1_000);
+
 /// Number of requests of a connection whose keys are remembered. A late duplicate of a response takes the
 /// place of the next one, so that only the last request would have to be known.
 const MAX_SENT_KEYS: usize = 64;
@@ -139,10 +171,32 @@
     fingerprint(&[id])
 }
 
-/// A connection; closed when dropped.
+/// Which idle connections a request may use. An idle connection may have fallen silent without a reset.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any; the request may be repeated on a new connection.
+    Any,
+    /// Those that had a response lately; the request must not be repeated.
+    Trusted,
+    /// None.
+    Never,
+}
+
+/// A connection; closed when dropped. If it is dropped while a response has been due for long, the idle
+/// connections to the peer that are no younger are closed too: they may have fallen silent with it.
 #[derive(Debug)]
 pub struct Connection {
     addr: SocketAddr,
+    /// Pool that the connection was opened for.
+    pool: Weak<Peers>,
+    /// When a request was sent whose response head has not been received.
+    awaited_since: Option<Instant>,
+    /// When the last response head was received, or the connection was opened.
+    heard_at: Instant,
+    /// Time to the last response head.
+    head_time: Option<Duration>,
+    /// Usual time of the peer to a response head.
+    usual: Duration,
     tx: http1::SendRequest<RequestBody>,
     task: AbortHandle,
     /// Number of requests sent on the connection.
@@ -158,6 +212,13 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
+        let Some(since) = self.awaited_since.filter(|_| self.requests_sent > 1) else { return };
+        if since.elapsed() < MIN_SILENCE.max(self.usual * MIN_SILENCE_FACTOR) {
+            return;
+        }
+        if let Some(pool) = self.pool.upgrade() {
+            pool.close_unheard(self.addr, since);
+        }
     }
 }
 
@@ -181,6 +242,11 @@
         let task = task::spawn_local(async move { drop(conn.await) }).abort_handle();
         Ok(Connection {
             addr,
+            pool: Weak::new(),
+            awaited_since: None,
+            heard_at: Instant::now(),
+            head_time: None,
+            usual: Duration::ZERO,
             tx,
             task,
             requests_sent: 0,
@@ -206,6 +272,21 @@
         self.requests_sent > 1
     }
 
+    /// Returns whether the connection had a response lately.
+    fn is_trusted(&self) -> bool {
+        self.heard_at.elapsed() <= MAX_TRUSTED_AGE
+    }
+
+    /// Returns the wait for a response head after which the connection counts as silent.
+    fn silence(&self, time_left: Duration) -> Duration {
+        let limit = SILENCE.max(self.usual * SILENCE_FACTOR);
+        if self.is_trusted() {
+            return limit;
+        }
+        let min = MIN_SILENCE.max(self.usual * MIN_SILENCE_FACTOR);
+        limit.min(time_left / SILENCE_SHARE).max(min)
+    }
+
     fn record_sent(&mut self, key: RequestKey) {
         self.requests_sent += 1;
         if self.sent.len() == MAX_SENT_KEYS {
@@ -223,8 +304,13 @@
         let addr = self.addr;
         let id = req.headers().get(headers::ATTEMPT).cloned();
         self.record_sent(request_key(id.as_ref().map_or(b"", |id| id.as_bytes())));
+        let sent_at = Instant::now();
+        self.awaited_since = Some(sent_at);
         let sent = self.tx.send_request(req.map(Into::into)).await;
+        self.awaited_since = None;
         let response = sent.context(NoAnswerSnafu { addr, reused })?;
+        self.heard_at = Instant::now();
+        self.head_time = Some(self.heard_at - sent_at);
         if is_mismatched(&response, id.as_ref()) {
             self.idle_timeout = Duration::ZERO;
             return MismatchedSnafu { addr }.fail();
@@ -238,6 +324,29 @@
         Ok(response)
     }
 
+    /// Like `send`, for a request that may be repeated on a new connection: gives up a reused connection
+    /// on which no response head arrives for much longer than usual, so that `time_left` suffices for
+    /// the repetition.
+    pub async fn send_repeatable(
+        &mut self,
+        req: Request<impl Into<RequestBody>>,
+        time_left: Duration,
+    ) -> Result<Response<Incoming>> {
+        if self.requests_sent == 0 {
+            return self.send(req).await;
+        }
+        let limit = self.silence(time_left);
+        let addr = self.addr;
+        match timeout(limit, self.send(req)).await {
+            Ok(response) => response,
+            Err(_) => {
+                metrics::counter!("silent_connections_total").increment(1);
+                log::info!(addr:% = addr, limit_ms = limit.as_millis() as u64; "connection_silent");
+                SilentSnafu { addr, limit }.fail()
+            }
+        }
+    }
+
     /// Reads the body of a response, of at most `limit` bytes. If this fails, the connection must not go
     /// back to the pool.
     pub async fn read(
@@ -352,10 +461,47 @@
     until: Instant,
 }
 
-/// Idle connections by address, the most recently used last.
+/// What is kept of one peer.
+#[derive(Debug, Default)]
+struct Peer {
+    /// The most recently used last.
+    idle: Vec<Idle>,
+    /// Usual time to the response head on connections that were kept.
+    head_time: Option<Duration>,
+}
+
+impl Peer {
+    fn record_head_time(&mut self, took: Duration) {
+        let usual = self.head_time.map_or(took, |usual| {
+            usual.mul_f64(1.0 - HEAD_TIME_EWMA_WEIGHT) + took.mul_f64(HEAD_TIME_EWMA_WEIGHT)
+        });
+        self.head_time = Some(usual);
+    }
+}
+
+/// Peers by address.
+#[derive(Debug, Default)]
+struct Peers(RefCell<FxHashMap<SocketAddr, Peer>>);
+
+impl Peers {
+    /// Closes the idle connections to `addr` on which nothing was received since `since`.
+    fn close_unheard(&self, addr: SocketAddr, since: Instant) {
+        let mut peers = self.0.borrow_mut();
+        let Some(peer) = peers.get_mut(&addr) else { return };
+        let kept = peer.idle.len();
+        peer.idle.retain(|idle| idle.conn.heard_at > since);
+        let closed = kept - peer.idle.len();
+        if closed > 0 {
+            metrics::counter!("unheard_connections_closed_total").increment(closed as u64);
+            log::info!(addr:% = addr, closed; "unheard_connections_closed");
+        }
+    }
+}
+
+/// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: RefCell<FxHashMap<SocketAddr, Vec<Idle>>>,
+    peers: Rc<Peers>,
     /// Whether a connection takes only one request of each key.
     separates_keys: bool,
 }
@@ -371,9 +517,10 @@
         &self,
         addr: SocketAddr,
         key: RequestKey,
+        reuse: Reuse,
         connect_timeout: Duration,
     ) -> Result<Connection> {
-        if let Some(conn) = self.take(addr, key) {
+        if let Some(conn) = self.take(addr, key, reuse) {
             return Ok(conn);
         }
         metrics::counter!("connections_opened_total").increment(1);
@@ -382,43 +529,57 @@
 
     /// Returns whether there is a usable idle connection to `addr`.
     pub fn has_idle(&self, addr: SocketAddr) -> bool {
-        let idle = self.idle.borrow();
+        let peers = self.peers.0.borrow();
         let now = Instant::now();
         let usable = |idle: &Idle| idle.until > now && idle.conn.tx.is_ready();
-        idle.get(&addr).is_some_and(|kept| kept.iter().any(usable))
+        peers.get(&addr).is_some_and(|peer| peer.idle.iter().any(usable))
     }
 
-    fn take(&self, addr: SocketAddr, key: RequestKey) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        let kept = idle.get_mut(&addr)?;
+    fn take(&self, addr: SocketAddr, key: RequestKey, reuse: Reuse) -> Option<Connection> {
+        let mut peers = self.peers.0.borrow_mut();
+        let peer = peers.get_mut(&addr)?;
         let now = Instant::now();
-        kept.retain(|idle| idle.until > now && idle.conn.tx.is_ready());
-        let may_take = |idle: &Idle| !self.separates_keys || !idle.conn.sent.contains(&key);
-        let newest = kept.iter().rposition(may_take)?;
-        Some(kept.remove(newest).conn)
+        peer.idle.retain(|idle| idle.until > now && idle.conn.tx.is_ready());
+        let may_take = |idle: &Idle| {
+            let is_fit = match reuse {
+                Reuse::Any => true,
+                Reuse::Trusted => idle.conn.is_trusted(),
+                Reuse::Never => false,
+            };
+            is_fit && (!self.separates_keys || !idle.conn.sent.contains(&key))
+        };
+        let newest = peer.idle.iter().rposition(may_take)?;
+        let mut conn = peer.idle.remove(newest).conn;
+        conn.usual = peer.head_time.unwrap_or_default();
+        Some(conn)
     }
 
     /// Returns a connection to the pool; its last response must have been read to the end.
-    pub fn put(&self, conn: Connection) {
+    pub fn put(&self, mut conn: Connection) {
         if conn.tx.is_closed() || conn.idle_timeout.is_zero() {
             return;
         }
         let until = Instant::now() + conn.idle_timeout;
-        let mut idle = self.idle.borrow_mut();
-        idle.entry(conn.addr).or_default().push(Idle { conn, until });
+        conn.pool = Rc::downgrade(&self.peers);
+        let mut peers = self.peers.0.borrow_mut();
+        let peer = peers.entry(conn.addr).or_default();
+        if let Some(took) = conn.head_time.take() {
+            peer.record_head_time(took);
+        }
+        peer.idle.push(Idle { conn, until });
     }
 
     /// Closes all idle connections to `addr`.
     pub fn close_idle(&self, addr: SocketAddr) {
-        self.idle.borrow_mut().remove(&addr);
+        self.peers.0.borrow_mut().remove(&addr);
     }
 
     /// Closes connections whose idle timeout has passed.
     pub fn sweep(&self) {
         let now = Instant::now();
-        let mut idle = self.idle.borrow_mut();
-        idle.values_mut().for_each(|kept| kept.retain(|idle| idle.until > now));
-        idle.retain(|_, kept| !kept.is_empty());
+        let mut peers = self.peers.0.borrow_mut();
+        peers.values_mut().for_each(|peer| peer.idle.retain(|idle| idle.until > now));
+        peers.retain(|_, peer| !peer.idle.is_empty());
     }
 
     /// Sends a request and reads the whole response, of at most `limit` bytes, within `call_timeout`.
@@ -432,7 +593,8 @@
     ) -> Result<Response<Bytes>> {
         let id = req.headers().get(headers::ATTEMPT);
         let key = request_key(id.map_or(b"", |id| id.as_bytes()));
-        let mut conn = self.get(addr, key, connect_timeout.min(call_timeout)).await?;
+        let connect_timeout = connect_timeout.min(call_timeout);
+        let mut conn = self.get(addr, key, Reuse::Any, connect_timeout).await?;
         let exchange = async {
             let response = conn.send(req).await?;
             conn.read(response, limit).await
--- a/crates/daemon/src/hosted/permits.rs
+++ b/crates/daemon/src/hosted/permits.rs
@@ -31,7 +31,7 @@
 
 use super::{
     clock,
-    http::{self as client, request_key, Connection, Pool, RequestKey},
+    http::{self as client, request_key, Connection, Pool, RequestKey, Reuse},
     node::Node,
     paths, rows,
 };
@@ -103,9 +103,10 @@
         &self,
         node: &Rc<Node>,
         permit: Permit,
+        reuse: Reuse,
         connect_timeout: Duration,
     ) -> client::Result<Connection> {
-        self.connect(node, &permit.server, permit.request, connect_timeout).await
+        self.connect(node, &permit.server, permit.request, reuse, connect_timeout).await
     }
 
     async fn connect(
@@ -113,9 +114,10 @@
         node: &Rc<Node>,
         server: &Backend,
         request: RequestKey,
+        reuse: Reuse,
         connect_timeout: Duration,
     ) -> client::Result<Connection> {
-        let conn = self.pool.get(server.addr, request, connect_timeout).await;
+        let conn = self.pool.get(server.addr, request, reuse, connect_timeout).await;
         conn.inspect_err(|e| paths::on_failure(node, &server.service, &server.id, e))
     }
 
@@ -126,17 +128,19 @@
         &self,
         node: &Rc<Node>,
         permit: Permit,
+        reuse: Reuse,
         verification: Verification,
     ) -> Result<(Connection, Now), VerifyError> {
         let Permit { server, request, sent_at } = permit;
         let addr = server.addr;
-        let mut conn = self.connect(node, &server, request, verification.connect_timeout).await?;
+        let Verification { connect_timeout, report_timeout, class, patience } = verification;
+        let mut conn = self.connect(node, &server, request, reuse, connect_timeout).await?;
         if server.software.is_empty() || server.started_ms == 0 {
             return Ok((conn, sent_at));
         }
         let is_new = conn.peer_start().is_none();
         if is_new {
-            let start = report_start(&mut conn, &server, verification.report_timeout).await?;
+            let start = report_start(&mut conn, &server, report_timeout).await?;
             conn.set_peer_start(start);
         }
         let start = conn.peer_start().flatten();
@@ -149,7 +153,6 @@
             return Ok((conn, sent_at));
         }
         // The report has used the permit.
-        let Verification { class, patience, .. } = verification;
         match acquire(node, &server, "", class, patience).await {
             Ok(permit) => Ok((conn, permit.sent_at)),
             Err(denied) => {
@@ -174,6 +177,27 @@
         response.inspect_err(|e| paths::on_failure(node, &server.service, &server.id, e))
     }
 
+    /// Like `call`, for a request that may be repeated on a new connection if an idle one is silent.
+    pub async fn call_repeatable(
+        &self,
+        node: &Rc<Node>,
+        permit: Permit,
+        req: Request<Bytes>,
+        reuse: Reuse,
+        (connect_timeout, call_timeout): (Duration, Duration),
+    ) -> client::Result<Response<Bytes>> {
+        let server = permit.server.clone();
+        let exchange = async {
+            let mut conn = self.get(node, permit, reuse, connect_timeout).await?;
+            let response = conn.send_repeatable(req, call_timeout).await?;
+            let response = conn.read(response, client::MAX_OWN_BODY_BYTES).await?;
+            self.pool.put(conn);
+            Ok(response)
+        };
+        let response = timeout(call_timeout, exchange).await.ok();
+        response.context(client::TimedOutSnafu { addr: server.addr, timeout: call_timeout })?
+    }
+
     /// Returns whether there is a usable idle connection to `addr`.
     pub fn has_idle(&self, addr: SocketAddr) -> bool {
         self.pool.has_idle(addr)
--- a/crates/daemon/src/hosted/score.rs
+++ b/crates/daemon/src/hosted/score.rs
@@ -18,7 +18,7 @@
     admission::{self, Applicant, Place},
     clock,
     forward::DEFAULT_OBJECTIVE,
-    http::{self as client, Error},
+    http::{self as client, Error, Reuse},
     in_flight::InFlight,
     node::{Destination, Node, OpenJob},
     paths, permits,
@@ -160,7 +160,9 @@
     let started = permit.sent_at();
     let in_flight = InFlight::new(node, &server.id);
     let connect_timeout = CONNECT_TIMEOUT.min(attempt_timeout);
-    let mut conn = match node.servers.get(node, permit, connect_timeout).await {
+    // The attempt before may have waited on an idle connection that had fallen silent.
+    let reuse = if tries == 0 { Reuse::Any } else { Reuse::Trusted };
+    let mut conn = match node.servers.get(node, permit, reuse, connect_timeout).await {
         Ok(conn) => conn,
         Err(e) => {
             in_flight.end(Ended::Failed);
--- a/crates/daemon/src/hosted/stream.rs
+++ b/crates/daemon/src/hosted/stream.rs
@@ -22,7 +22,7 @@
 use super::{
     clock,
     hold::Hold,
-    http::{self as client, Connection},
+    http::{self as client, Connection, Reuse},
     node::{Destination, Node, OpenJob},
     paths,
     permits::{self, Verification, VerifyError},
@@ -78,10 +78,18 @@
 pub async fn run(node: Rc<Node>, req: RunRequest) {
     let mut run_log = RunLog::new(&req);
     let panicked = fail(RunEnd::Broken, "the run panicked");
-    let exchanged = tasks::or_after_panic(exchange(&node, &req, &mut run_log), panicked).await;
+    let exchanges = async {
+        match exchange(&node, &req, &mut run_log, Reuse::Any).await {
+            Err(Failure { is_silent: true, .. }) => {
+                exchange(&node, &req, &mut run_log, Reuse::Never).await
+            }
+            end => end,
+        }
+    };
+    let exchanged = tasks::or_after_panic(exchanges, panicked).await;
     let (end, detail) = match exchanged {
         Ok(end) => (end, String::new()),
-        Err(Failure { end, detail }) => (end, detail),
+        Err(Failure { end, detail, .. }) => (end, detail),
     };
     run_log.log(&format!("{end:?}"), &detail);
     let run = req.run;
@@ -91,16 +99,19 @@
 struct Failure {
     end: RunEnd,
     detail: String,
+    /// Whether the run got no response on a connection that had been used before.
+    is_silent: bool,
 }
 
 fn fail<T>(end: RunEnd, detail: impl ToString) -> Result<T, Failure> {
-    Err(Failure { end, detail: detail.to_string() })
+    Err(Failure { end, detail: detail.to_string(), is_silent: false })
 }
 
 async fn exchange(
     node: &Rc<Node>,
     req: &RunRequest,
     run_log: &mut RunLog,
+    reuse: Reuse,
 ) -> Result<RunEnd, Failure> {
     fail::fail_point!("run");
     let permit = match permits::acquire(
@@ -121,7 +132,8 @@
         class: PermitClass::job(req.priority),
         patience: PERMIT_PATIENCE,
     };
-    let (mut conn, sent_at) = match node.servers.get_verified(node, permit, verification).await {
+    let verified = node.servers.get_verified(node, permit, reuse, verification).await;
+    let (mut conn, sent_at) = match verified {
         Ok(verified) => verified,
         Err(e @ VerifyError::Connection { .. }) => return fail(RunEnd::Broken, e),
         Err(e @ VerifyError::Limited { .. }) => return fail(RunEnd::Denied, e),
@@ -140,8 +152,12 @@
             return fail(RunEnd::Denied, e);
         }
     }
-    let response = match timeout(HEAD_TIMEOUT, conn.send(message)).await {
+    let sending = conn.send_repeatable(message, HEAD_TIMEOUT);
+    let response = match timeout(HEAD_TIMEOUT, sending).await {
         Ok(Ok(response)) => response,
+        Ok(Err(e)) if e.is_silent_connection() => {
+            return Err(Failure { end: RunEnd::Broken, detail: e.to_string(), is_silent: true });
+        }
         Ok(Err(e)) if e.is_stale_connection() => return fail(RunEnd::Refused, e),
         Ok(Err(e)) => return fail(RunEnd::Broken, e),
         Err(_) => return fail(RunEnd::Broken, "no response head within the timeout"),
--- a/crates/daemon/src/hosted/weights.rs
+++ b/crates/daemon/src/hosted/weights.rs
@@ -23,7 +23,7 @@
 
 use super::{
     clock, duties,
-    http::Error,
+    http::{Error, Reuse},
     node::Node,
     permits::{self, Denied, Permit},
     rows,
@@ -220,8 +220,13 @@
 }
 
 async fn request_report(node: &Rc<Node>, server: &Backend, permit: Permit) -> Option<OrderReport> {
-    let req = servers::report_request(server, &permits::new_request_id());
-    let response = call(node, server, req, permit).await;
+    let mut response = send_report_request(node, server, permit, Reuse::Any).await;
+    if response.as_ref().is_err_and(Error::is_silent_connection) {
+        let class = PermitClass::CONTROL;
+        if let Ok(permit) = permits::acquire(node, server, "", class, PERMIT_PATIENCE).await {
+            response = send_report_request(node, server, permit, Reuse::Never).await;
+        }
+    }
     let report = match &response {
         Ok(response) => servers::report(response).unwrap_or_default(),
         Err(_) => None,
@@ -231,6 +236,20 @@
     report
 }
 
+async fn send_report_request(
+    node: &Rc<Node>,
+    server: &Backend,
+    permit: Permit,
+    reuse: Reuse,
+) -> Result<Response<Bytes>, Error> {
+    let sent_at = permit.sent_at();
+    let req = servers::report_request(server, &permits::new_request_id());
+    let timeouts = (CONNECT_TIMEOUT, RESPONSE_TIMEOUT);
+    let response = node.servers.call_repeatable(node, permit, req, reuse, timeouts).await?;
+    node.on_response(&server.id, server.started_ms, sent_at, &response);
+    Ok(response)
+}
+
 async fn send_order(node: &Rc<Node>, server: &Backend, order: &Order, permit: Permit) -> OrderEnd {
     let req = servers::order(server, &permits::new_request_id(), &node.settings().host, order);
     let response = call(node, server, req, permit).await;
