Connections between daemons are checked before they are used after a second

Callers saw: a host that is cut off from the servers passes requests on over a connection that had fallen silent; a request that may run once got 502 after its whole time.

Change: a connection that answered no ping for a second is pinged first, and replaced if it does not answer within 150 ms. Permits, relayed store calls and notices use the same connections.

Evidence: requests_are_passed_on_over_a_new_connection_after_the_one_between_the_hosts_fell_silent fails without the ping (502 instead of 200). The test of calls on silent connections asks besides that at most one call a server waits; without the closing of unheard connections it fails (four of eight waited).

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,8 +1,14 @@
 //! Messages between daemons: one HTTP/2 stream with bincode bodies per request and answer.
 
 use std::{
-    collections::HashMap, future::Future, io, net::SocketAddr, sync::Arc, thread::JoinHandle,
-    time::Duration,
+    collections::HashMap,
+    fmt,
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    thread::JoinHandle,
+    time::{Duration, Instant},
 };
 
 use buckthornfall_proto::{
@@ -14,10 +20,10 @@
 use h2::{
     client::{ResponseFuture, SendRequest},
     server::SendResponse,
-    RecvStream,
+    Ping, PingPong, RecvStream,
 };
 use http::{HeaderName, Request, Response, StatusCode};
-use log::{debug, warn};
+use log::{debug, info, warn};
 use snafu::{ResultExt, Snafu};
 use stakker::sync::Channel;
 use tokio::{
@@ -111,6 +117,11 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout of connecting to another daemon: many times the round trip between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Age of the last ping that was answered above which a connection is checked before it is used: it may have
+/// fallen silent.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Timeout of the check: several round trips between regions.
+const PING_TIMEOUT: Duration = Duration::from_millis(150);
 /// Initial flow control window of an HTTP/2 stream.
 const WINDOW_BYTES: u32 = 1024 * 1024;
 /// Flow control window of a connection that carries messages.
@@ -244,10 +255,48 @@
     events.send(PeerEvent::Answer { message });
 }
 
+/// An open connection to another daemon.
+#[derive(Clone)]
+struct OpenConnection {
+    sender: SendRequest<Bytes>,
+    check: Arc<Mutex<Check>>,
+}
+
+impl fmt::Debug for OpenConnection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("OpenConnection").field("sender", &self.sender).finish_non_exhaustive()
+    }
+}
+
+/// When a connection was last known to work.
+struct Check {
+    ping_pong: PingPong,
+    /// `None` once a ping was not answered.
+    answered_at: Option<Instant>,
+}
+
+impl OpenConnection {
+    /// Returns whether the connection works; asks if that was not known lately.
+    async fn is_working(&self) -> bool {
+        let check = &mut *self.check.lock().await;
+        let Some(answered_at) = check.answered_at else { return false };
+        if answered_at.elapsed() < CHECK_INTERVAL {
+            return true;
+        }
+        // Stays so if this call is cancelled, as the ping is still under way then.
+        check.answered_at = None;
+        let pong = timeout(PING_TIMEOUT, check.ping_pong.ping(Ping::opaque())).await;
+        if matches!(pong, Ok(Ok(_))) {
+            check.answered_at = Some(Instant::now());
+        }
+        check.answered_at.is_some()
+    }
+}
+
 /// Open connections to other daemons, by address.
 #[derive(Debug)]
 pub struct Connections {
-    open: Mutex<HashMap<String, SendRequest<Bytes>>>,
+    open: Mutex<HashMap<String, OpenConnection>>,
     /// Flow control window of a stream and of the whole connection.
     windows: (u32, u32),
 }
@@ -289,26 +338,35 @@
     }
 
     async fn connection(&self, address: &str) -> Result<SendRequest<Bytes>> {
-        if let Some(sender) = self.open.lock().await.get(address) {
-            return Ok(sender.clone());
+        let known = self.open.lock().await.get(address).cloned();
+        if let Some(known) = known {
+            if known.is_working().await {
+                return Ok(known.sender);
+            }
+            metrics::counter!("silent_peer_connections_total").increment(1);
+            info!(address; "peer_connection_silent");
+            self.forget(address).await;
         }
         let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let socket = socket.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let socket = socket.context(ConnectSnafu { address })?;
         socket.set_nodelay(true).context(ConnectSnafu { address })?;
-        let (sender, connection) = h2::client::Builder::new()
+        let (sender, mut connection) = h2::client::Builder::new()
             .initial_window_size(self.windows.0)
             .initial_connection_window_size(self.windows.1)
             .handshake(socket)
             .await
             .context(Http2Snafu { address })?;
+        let ping_pong = connection.ping_pong().expect("the connection is new");
         spawn_local(async move {
             if let Err(e) = connection.await {
                 debug!(error:% = e; "peer_connection_ended");
             }
         });
-        self.open.lock().await.insert(address.to_owned(), sender.clone());
-        Ok(sender)
+        let check = Check { ping_pong, answered_at: Some(Instant::now()) };
+        let opened = OpenConnection { sender, check: Arc::new(Mutex::new(check)) };
+        self.open.lock().await.insert(address.to_owned(), opened.clone());
+        Ok(opened.sender)
     }
 
     /// Sends a request with `HOP` and returns the response, whose body is yet to be received. An error
