A daemon closes its listeners before it exits

Callers saw: a connection that a stopping daemon accepts as it exits is closed without an answer.

Change: the listeners close 0.1 s before the exit, and the daemon waits on while a request is in flight.

With it, what a newcomer would stumble over: ConnectionUse is gone, timeouts of a call have names, the age of a connection counts from the end of its last response.

--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -119,6 +119,8 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Minimum duration of a planned stop, as callers cache addresses for this long.
 const MIN_STOP_DURATION: Duration = Duration::from_millis(2_200);
+/// Time before the exit in which no connection is accepted, so that the requests on those that were are answered.
+const CLOSING_TIME: Duration = Duration::from_millis(100);
 /// Interval between checks whether a planned stop is complete.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -241,12 +243,18 @@
     node.stop.notify_waiters();
     node.with_duty_holder(|holder, cx| holder.release(cx));
     hand_over_jobs(node).await;
+    // What a connection has buffered is lost when the process exits.
+    let is_drained = || node.in_flight.get() == 0 && node.blocked_connections.get() == 0;
     loop {
         sleep(STOP_CHECK_INTERVAL).await;
-        let elapsed = clock::now().saturating_sub(started);
-        // What a connection has buffered is lost when the process exits.
-        let is_drained = node.in_flight.get() == 0 && node.blocked_connections.get() == 0;
-        if (elapsed >= MIN_STOP_DURATION && is_drained) || clock::now() >= exit_at {
+        let now = clock::now();
+        let may_end = now.saturating_sub(started) >= MIN_STOP_DURATION && is_drained();
+        if !may_end && now + CLOSING_TIME < exit_at {
+            continue;
+        }
+        node.listeners.borrow_mut().drain(..).for_each(|listener| listener.abort());
+        sleep(CLOSING_TIME).await;
+        if is_drained() || clock::now() >= exit_at {
             break;
         }
     }
--- a/crates/daemon/src/hosted/attempt.rs
+++ b/crates/daemon/src/hosted/attempt.rs
@@ -109,15 +109,12 @@
     } else {
         remaining.min(MIN_ATTEMPT_TIMEOUT.max(service_time * SERVICE_TIME_FACTOR))
     };
-    let use_of = match (uses_all_time, may_repeat(route)) {
-        (true, true) => ConnectionUse::Repeated,
-        (true, false) => ConnectionUse::Trusted,
-        (false, _) => ConnectionUse::Any,
-    };
+    // Where another attempt follows before long, that one takes the place of a repetition.
+    let repeats = uses_all_time && may_repeat(route);
     let started = clock::now();
     let guard = AttemptGuard::new(node, &server, deadline);
     let end = tokio::select! {
-        end = timeout(attempt_timeout, exchange(node, req, permit, deadline, use_of)) => end,
+        end = timeout(attempt_timeout, exchange(node, req, permit, deadline, repeats)) => end,
         () = useless(node, &server.service, req) => {
             guard.end(Ended::Failed);
             let reason = "the paths to the servers are lost";
@@ -221,30 +218,18 @@
     }
 }
 
-/// How an attempt deals with idle connections, which may have fallen silent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ConnectionUse {
-    /// Takes any; another attempt follows this one before long.
-    Any,
-    /// Takes any, and sends the request again on a new one if it is silent.
-    Repeated,
-    /// Takes one that had a response lately, as the request must not be repeated.
-    Trusted,
-}
-
+/// Sends the request and receives the response as far as it is needed here. The request is sent once more
+/// on a new connection if `repeats` and the first one is silent.
 async fn exchange(
     node: &Rc<Node>,
     req: CallerRequest<'_>,
     permit: Permit,
     deadline: Now,
-    use_of: ConnectionUse,
+    repeats: bool,
 ) -> Result<(Response<Received>, Connection), ExchangeError> {
     let CallerRequest { route, scope, .. } = req;
     let server = permit.server().clone();
-    let reuse = match use_of {
-        ConnectionUse::Any | ConnectionUse::Repeated => Reuse::Any,
-        ConnectionUse::Trusted => Reuse::Trusted,
-    };
+    let reuse = if may_repeat(route) { Reuse::Any } else { Reuse::Trusted };
     let (mut conn, mut sent_at) = connect(node, req, permit, deadline, reuse).await?;
     let pending = match scope {
         Scope::New(stream) => stream
@@ -252,7 +237,6 @@
             .map_err(|reason| ExchangeError::NotSent(reason.to_owned()))?,
         Scope::Any | Scope::Resumed(_) => None,
     };
-    let repeats = use_of == ConnectionUse::Repeated;
     let mut sent = send(node, req, &server, &mut conn, deadline, repeats).await;
     if let Err(ExchangeError::Http(Error::Silent { .. })) = sent {
         if let Some(reconnected) = reconnect(node, req, &server, deadline).await {
--- a/crates/daemon/src/hosted/http.rs
+++ b/crates/daemon/src/hosted/http.rs
@@ -187,11 +187,11 @@
 #[derive(Debug)]
 pub struct Connection {
     addr: SocketAddr,
-    /// Pool that the connection was opened for.
+    /// Pool that the connection was last put into.
     pool: Weak<Peers>,
     /// When a request was sent whose response head has not been received.
     awaited_since: Option<Instant>,
-    /// When the last response head was received, or the connection was opened.
+    /// When the last response was received, or the connection was opened.
     heard_at: Instant,
     /// Time to the last response head.
     head_time: Option<Duration>,
@@ -564,6 +564,7 @@
         let mut peers = self.peers.0.borrow_mut();
         let peer = peers.entry(conn.addr).or_default();
         if let Some(took) = conn.head_time.take() {
+            conn.heard_at = Instant::now();
             peer.record_head_time(took);
         }
         peer.idle.push(Idle { conn, until });
--- a/crates/daemon/src/hosted/node.rs
+++ b/crates/daemon/src/hosted/node.rs
@@ -43,6 +43,7 @@
 use stakker::{Actor, Deferrer, Stakker};
 use tokio::{
     sync::{Notify, Semaphore},
+    task::AbortHandle,
     time::sleep,
 };
 
@@ -199,6 +200,8 @@
     /// Weight plan last read from the store or made by this daemon.
     pub plan: RefCell<Plan>,
     pub state: Cell<MemberState>,
+    /// Tasks that accept the connections of callers and of the platform.
+    pub listeners: RefCell<Vec<AbortHandle>>,
     /// When a planned stop began.
     pub stopped_at: Cell<Option<Now>>,
     /// When the daemon exits at the latest, once a planned stop has begun.
@@ -290,6 +293,7 @@
             loading: RefCell::default(),
             plan: RefCell::default(),
             state: Cell::new(MemberState::Starting),
+            listeners: RefCell::default(),
             stopped_at: Cell::new(None),
             exit_at: Cell::new(None),
             durations: RefCell::default(),
--- a/crates/daemon/src/hosted/peers.rs
+++ b/crates/daemon/src/hosted/peers.rs
@@ -44,5 +44,6 @@
 /// Accepts connections of other daemons.
 pub async fn listen(node: &Rc<Node>) -> io::Result<()> {
     let handler = PeerHandler(Rc::clone(node));
-    server::accept(node.settings().peers, move |socket| peers::serve(socket, handler.clone())).await
+    let serve = move |socket| peers::serve(socket, handler.clone());
+    server::accept(node.settings().peers, serve).await.map(drop)
 }
--- a/crates/daemon/src/hosted/permits.rs
+++ b/crates/daemon/src/hosted/permits.rs
@@ -177,25 +177,25 @@
         response.inspect_err(|e| paths::on_failure(node, &server.service, &server.id, e))
     }
 
-    /// Like `call`, for a request that may be repeated on a new connection if an idle one is silent.
+    /// Like `call`, for a request that may be repeated on a new connection: gives up an idle one that is silent.
     pub async fn call_repeatable(
         &self,
         node: &Rc<Node>,
         permit: Permit,
         req: Request<Bytes>,
         reuse: Reuse,
-        (connect_timeout, call_timeout): (Duration, Duration),
+        CallTimeouts { connect, call }: CallTimeouts,
     ) -> client::Result<Response<Bytes>> {
         let server = permit.server.clone();
         let exchange = async {
-            let mut conn = self.get(node, permit, reuse, connect_timeout).await?;
-            let response = conn.send_repeatable(req, call_timeout).await?;
+            let mut conn = self.get(node, permit, reuse, connect).await?;
+            let response = conn.send_repeatable(req, call).await?;
             let response = conn.read(response, client::MAX_OWN_BODY_BYTES).await?;
             self.pool.put(conn);
             Ok(response)
         };
-        let response = timeout(call_timeout, exchange).await.ok();
-        response.context(client::TimedOutSnafu { addr: server.addr, timeout: call_timeout })?
+        let response = timeout(call, exchange).await.ok();
+        response.context(client::TimedOutSnafu { addr: server.addr, timeout: call })?
     }
 
     /// Returns whether there is a usable idle connection to `addr`.
@@ -214,6 +214,15 @@
     }
 }
 
+/// Timeouts of a request of the daemon's own.
+#[derive(Debug, Clone, Copy)]
+pub struct CallTimeouts {
+    /// Timeout of connecting.
+    pub connect: Duration,
+    /// Timeout of the whole call.
+    pub call: Duration,
+}
+
 /// How a connection is verified.
 #[derive(Debug, Clone, Copy)]
 pub struct Verification {
--- a/crates/daemon/src/hosted/server.rs
+++ b/crates/daemon/src/hosted/server.rs
@@ -24,6 +24,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpSocket, TcpStream},
+    task::AbortHandle,
     time::sleep,
 };
 
@@ -56,22 +57,27 @@
     Metrics,
 }
 
-/// Listens on `addr` and serves HTTP on each connection.
+/// Listens on `addr` and serves HTTP on each connection, until the daemon closes its listeners.
 pub async fn listen(node: &Rc<Node>, addr: SocketAddr, kind: ListenerKind) -> io::Result<()> {
-    let node = Rc::clone(node);
-    accept(addr, move |stream| serve(Rc::clone(&node), stream, kind)).await
+    let served = Rc::clone(node);
+    let listener = accept(addr, move |stream| serve(Rc::clone(&served), stream, kind)).await?;
+    node.listeners.borrow_mut().push(listener);
+    Ok(())
 }
 
-/// Listens on `addr` and runs `serve` for each connection.
-pub async fn accept<F>(addr: SocketAddr, serve: impl Fn(TcpStream) -> F + 'static) -> io::Result<()>
+/// Listens on `addr` and runs `serve` for each connection. The listener closes when the task is aborted.
+pub async fn accept<F>(
+    addr: SocketAddr,
+    serve: impl Fn(TcpStream) -> F + 'static,
+) -> io::Result<AbortHandle>
 where
     F: Future<Output = ()> + 'static,
 {
     let listener = Rc::new(bind(addr)?);
     let serve = Rc::new(serve);
     let start = move || accept_all(Rc::clone(&listener), addr, Rc::clone(&serve));
-    tokio::task::spawn_local(tasks::restart_after_panics("accept", start));
-    Ok(())
+    let task = tokio::task::spawn_local(tasks::restart_after_panics("accept", start));
+    Ok(task.abort_handle())
 }
 
 async fn accept_all<F>(
--- a/crates/daemon/src/hosted/weights.rs
+++ b/crates/daemon/src/hosted/weights.rs
@@ -15,7 +15,7 @@
     messages::{JobRow, OrderRow},
 };
 use bytes::Bytes;
-use http::{Request, Response};
+use http::Response;
 use log::info;
 use rustc_hash::FxHashMap;
 use stakker::{after, CX};
@@ -25,7 +25,7 @@
     clock, duties,
     http::{Error, Reuse},
     node::Node,
-    permits::{self, Denied, Permit},
+    permits::{self, CallTimeouts, Denied, Permit},
     rows,
 };
 
@@ -206,19 +206,7 @@
     Ok((acquire().await?, acquire().await?))
 }
 
-/// Sends a request to a server. Its response may announce that the server is leaving.
-async fn call(
-    node: &Rc<Node>,
-    server: &Backend,
-    req: Request<Bytes>,
-    permit: Permit,
-) -> Result<Response<Bytes>, Error> {
-    let sent_at = permit.sent_at();
-    let response = node.servers.call(node, permit, req, CONNECT_TIMEOUT, RESPONSE_TIMEOUT).await?;
-    node.on_response(&server.id, server.started_ms, sent_at, &response);
-    Ok(response)
-}
-
+/// Asks a server for its report, once more on a new connection if an idle one is silent.
 async fn request_report(node: &Rc<Node>, server: &Backend, permit: Permit) -> Option<OrderReport> {
     let mut response = send_report_request(node, server, permit, Reuse::Any).await;
     if response.as_ref().is_err_and(Error::is_silent_connection) {
@@ -244,7 +232,7 @@
 ) -> Result<Response<Bytes>, Error> {
     let sent_at = permit.sent_at();
     let req = servers::report_request(server, &permits::new_request_id());
-    let timeouts = (CONNECT_TIMEOUT, RESPONSE_TIMEOUT);
+    let timeouts = CallTimeouts { connect: CONNECT_TIMEOUT, call: RESPONSE_TIMEOUT };
     let response = node.servers.call_repeatable(node, permit, req, reuse, timeouts).await?;
     node.on_response(&server.id, server.started_ms, sent_at, &response);
     Ok(response)
@@ -252,7 +240,11 @@
 
 async fn send_order(node: &Rc<Node>, server: &Backend, order: &Order, permit: Permit) -> OrderEnd {
     let req = servers::order(server, &permits::new_request_id(), &node.settings().host, order);
-    let response = call(node, server, req, permit).await;
+    let sent_at = permit.sent_at();
+    let response = node.servers.call(node, permit, req, CONNECT_TIMEOUT, RESPONSE_TIMEOUT).await;
+    if let Ok(response) = &response {
+        node.on_response(&server.id, server.started_ms, sent_at, response);
+    }
     let end = servers::order_end(response.as_ref().ok());
     info!(server = server.id.as_str(), model = order.model.as_str(), version = order.version,
         accepted = order.accepted, fence = order.fence, outcome:? = end; "weights_ordered");
