--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -343,8 +343,8 @@
             if known.is_working().await {
                 return Ok(known.sender);
             }
-            metrics::counter!("silent_peer_connections_total").increment(1);
-            info!(address; "peer_connection_silent");
+            metrics::counter!("peer_connections_replaced_total").increment(1);
+            info!(address; "peer_connection_replaced");
             self.forget(address).await;
         }
         let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
