A leaving daemon keeps new connections open for their first request

What callers saw: a new connection to a daemon that stops gets nothing and is closed; they send again.

Cause: during a stop the end of each request wakes all connections, which then shut down if no head has begun to arrive. One that was just opened has none either, and a shutdown before the first byte closes it unread.

Ruled out: the exit and the listeners' end, as the daemon runs on for two seconds in the test.

Open: a kept connection on which a request is on its way may still be closed before it is read.

--- a/crates/daemon/src/hosted/server.rs
+++ b/crates/daemon/src/hosted/server.rs
@@ -45,6 +45,8 @@
 const BACKLOG: u32 = 1_024;
 /// Interval between checks for idle connections and late request heads.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a new connection to a leaving daemon stays open for its first request.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 /// Delay after a failed accept, for example when no file descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -114,7 +116,9 @@
 struct Activity {
     node: Rc<Node>,
     in_flight: Cell<usize>,
-    /// When the last response ended.
+    /// Whether no bytes have arrived yet.
+    is_unused: Cell<bool>,
+    /// When the last response ended, or the connection was opened.
     last_end: Cell<Now>,
     /// When the first bytes arrived of a request head that is not complete yet.
     head_since: Cell<Option<Now>>,
@@ -127,6 +131,7 @@
         Rc::new(Activity {
             node: Rc::clone(node),
             in_flight: Cell::new(0),
+            is_unused: Cell::new(true),
             last_end: Cell::new(clock::now()),
             head_since: Cell::new(None),
             blocked_since: Cell::new(None),
@@ -138,6 +143,11 @@
         self.head_since.get().is_some()
     }
 
+    /// Returns whether the first request on a new connection may still be on its way.
+    fn awaits_first_request(&self) -> bool {
+        self.is_unused.get() && !self.is_idle(FIRST_REQUEST_TIME)
+    }
+
     fn is_idle(&self, timeout: Duration) -> bool {
         self.in_flight.get() == 0 && clock::now().saturating_sub(self.last_end.get()) > timeout
     }
@@ -232,8 +242,11 @@
         let before = buf.filled().len();
         let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
         let activity = &self.activity;
-        let head_starts = activity.in_flight.get() == 0 && activity.head_since.get().is_none();
-        if head_starts && buf.filled().len() > before {
+        if buf.filled().len() == before {
+            return Poll::Ready(result);
+        }
+        activity.is_unused.set(false);
+        if activity.in_flight.get() == 0 && activity.head_since.get().is_none() {
             activity.head_since.set(Some(clock::now()));
         }
         Poll::Ready(result)
@@ -319,7 +332,8 @@
         let is_too_small = buffer_bytes(&limits) > max_buffer_bytes;
         let is_due = node.is_leaving() || is_too_small || activity.is_idle(limits.idle_timeout);
         // A shutdown while a head arrives would leave the request without an answer.
-        if !closing && is_due && !activity.has_partial_head() {
+        let expects_request = activity.has_partial_head() || activity.awaits_first_request();
+        if !closing && is_due && !expects_request {
             closing = true;
             conn.as_mut().graceful_shutdown();
         }
