A new stream without events counts as broken off

Cause: an empty, delimited answer is right for a stream that is taken up after its last event. exchange() in attempt.rs accepted it for every stream.

Why this works: the exception is bound to requests that take a stream up. All other empty answers take the path of streams that break off within their first event.

Open: nothing tells an answer that breaks off between two events from a whole one.

--- a/crates/daemon/src/hosted/attempt.rs
+++ b/crates/daemon/src/hosted/attempt.rs
@@ -258,7 +258,7 @@
     let start = match start {
         Start::Event(start) => start,
         // Nothing follows the last event of a resumed stream that had ended.
-        Start::Ended(start) if start.is_empty() && is_delimited => start,
+        Start::Ended(start) if scope.is_resumed() && start.is_empty() && is_delimited => start,
         Start::Ended(_) => {
             return Err(ExchangeError::Incomplete(
                 "the stream ends before its first event".to_owned(),
