Requests that a daemon serves for another one end when that one is not heard

A host that is cut off from the servers passes streams on and freezes. Its callers give up after 2 s and go on at the other host, whose first run goes on for some 5 s beside the new one.

Cause: a request that was passed on ended only by a reset of its HTTP/2 stream or the end of the connection. A frozen host sends neither, nor does one without power or network.

Why this works: while such requests are in progress the connection is pinged each 0.3 s, and dropped 0.7 s after a ping without an answer; the requests are dropped with it, and with them their connections to the servers. That is 1 s at most, callers go on after 2 s at the earliest.

Ruled out: heartbeats (a frozen host is dead after 1.5 s at the earliest, and one whose connection alone is silent never) and TCP keep-alive (a frozen host's kernel answers it).

Open: a request that takes a stream up does not end the run before it.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -28,9 +28,9 @@
 use stakker::sync::Channel;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{mpsc, oneshot, Mutex, Semaphore},
+    sync::{mpsc, oneshot, watch, Mutex, Notify, Semaphore},
     task::{spawn_local, LocalSet},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use crate::telemetry::Telemetry;
@@ -122,6 +122,11 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Timeout of the check: several round trips between regions.
 const PING_TIMEOUT: Duration = Duration::from_millis(150);
+/// Interval between pings on a connection while requests of callers are in progress on it.
+const REQUEST_PING_INTERVAL: Duration = Duration::from_millis(300);
+/// Time without an answer to such a ping after which the requests end: less than callers wait before they send
+/// theirs elsewhere.
+const REQUEST_PING_TIMEOUT: Duration = Duration::from_millis(700);
 /// Initial flow control window of an HTTP/2 stream.
 const WINDOW_BYTES: u32 = 1024 * 1024;
 /// Flow control window of a connection that carries messages.
@@ -394,7 +399,8 @@
     }
 }
 
-/// Serves the messages of one connection.
+/// Serves the messages of one connection, and the requests that the other daemon passes on. Requests end with
+/// their connection, also when the other daemon is no longer heard.
 pub async fn serve(socket: TcpStream, handler: impl MessageHandler) {
     // Without TCP_NODELAY, answers are only slower.
     let _ = socket.set_nodelay(true);
@@ -410,13 +416,31 @@
             return;
         }
     };
-    while let Some(Ok((request, respond))) = connection.accept().await {
-        let handler = handler.clone();
-        spawn_local(async move {
-            if request.headers().contains_key(HOP) {
-                handler.serve_request(request, respond).await;
+    let ping_pong = connection.ping_pong().expect("the connection is new");
+    let requests = Requests::default();
+    let mut silence = std::pin::pin!(requests.silence(ping_pong));
+    loop {
+        let accepted = tokio::select! {
+            accepted = connection.accept() => accepted,
+            () = &mut silence => {
+                info!(requests = requests.count(); "peer_silent");
                 return;
             }
+        };
+        let Some(Ok((request, respond))) = accepted else { return };
+        let handler = handler.clone();
+        if request.headers().contains_key(HOP) {
+            let mut is_open = requests.start();
+            spawn_local(async move {
+                tokio::select! {
+                    () = handler.serve_request(request, respond) => {}
+                    // Fails once the connection is no longer served.
+                    _ = is_open.changed() => {}
+                }
+            });
+            continue;
+        }
+        spawn_local(async move {
             if let Err(e) = serve_exchange(request.into_body(), respond, &handler).await {
                 warn!(error:% = e; "peer_message_refused");
             }
@@ -424,6 +448,50 @@
     }
 }
 
+/// Requests of callers in progress on one connection. Each holds a receiver, which tells the end of the connection.
+struct Requests {
+    open: watch::Sender<()>,
+    started: Notify,
+}
+
+impl Default for Requests {
+    fn default() -> Requests {
+        Requests { open: watch::channel(()).0, started: Notify::new() }
+    }
+}
+
+impl Requests {
+    fn start(&self) -> watch::Receiver<()> {
+        self.started.notify_one();
+        self.open.subscribe()
+    }
+
+    fn count(&self) -> usize {
+        self.open.receiver_count()
+    }
+
+    /// Waits until the other daemon answers no ping while requests are in progress.
+    async fn silence(&self, mut ping_pong: PingPong) {
+        loop {
+            if self.count() == 0 {
+                self.started.notified().await;
+            }
+            sleep(REQUEST_PING_INTERVAL).await;
+            if self.count() == 0 {
+                continue;
+            }
+            let mut pong = std::pin::pin!(ping_pong.ping(Ping::opaque()));
+            // The second half is for an answer that arrived while this process was paused.
+            let half = REQUEST_PING_TIMEOUT / 2;
+            let is_answered = matches!(timeout(half, &mut pong).await, Ok(Ok(_)))
+                || matches!(timeout(half, &mut pong).await, Ok(Ok(_)));
+            if !is_answered {
+                return;
+            }
+        }
+    }
+}
+
 async fn serve_exchange(
     body: RecvStream,
     mut respond: SendResponse<Bytes>,
